--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run on one machine."""
--- /dev/null
+++ b/src/amaranthhollow/cli/__main__.py
@@ -0,0 +1,9 @@
+"""Runs the command as a module."""
+
+from __future__ import annotations
+
+from amaranthhollow.cli.main import main
+
+__all__: list[str] = []
+
+main()
--- /dev/null
+++ b/src/amaranthhollow/cli/context.py
@@ -0,0 +1,108 @@
+"""What the commands of the operators' tool share."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import aiohttp
+import click
+import msgspec
+from result import Err
+
+from amaranthhollow.platform.configuration_store import ConfigurationStore
+from amaranthhollow.platform.host_list import HostListClient
+from amaranthhollow.platform.key_value import KeyValueClient
+from amaranthhollow.settings.model import read_operator_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from amaranthhollow.settings.findings import Finding
+    from amaranthhollow.settings.model import OperatorSettings
+
+__all__ = [
+    "Clients",
+    "ExitCode",
+    "fail",
+    "json_option",
+    "print_findings",
+    "print_json",
+    "run_with_clients",
+    "settings_option",
+]
+
+
+class ExitCode(IntEnum):
+    """What the tool's exit says."""
+
+    FAILED = 1
+    FINDINGS = 2
+    SUPERSEDED = 3
+    UNCERTAIN = 4
+
+
+@dataclass(frozen=True)
+class Clients:
+    """Clients of the platform and of daemons, for one command."""
+
+    session: aiohttp.ClientSession
+    settings: OperatorSettings
+    store: ConfigurationStore
+    host_list: HostListClient
+
+
+settings_option = click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(path_type=Path),
+    envvar="AMARANTHHOLLOW_SETTINGS",
+    required=True,
+    help="The tool's settings in YAML (or AMARANTHHOLLOW_SETTINGS).",
+)
+json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
+
+def run_with_clients(
+    settings_file: Path, job: Callable[[Clients], Awaitable[None]]
+) -> None:
+    """Read the settings and run ``job`` with clients that it may use."""
+    settings = read_operator_settings(settings_file)
+    if isinstance(settings, Err):
+        print_findings(settings.err_value, as_json=False)
+        sys.exit(ExitCode.FINDINGS)
+    asyncio.run(_run(settings.ok_value, job))
+
+
+async def _run(
+    settings: OperatorSettings, job: Callable[[Clients], Awaitable[None]]
+) -> None:
+    async with aiohttp.ClientSession() as session:
+        key_value = KeyValueClient(session, str(settings.key_value_service))
+        store = ConfigurationStore(key_value)
+        host_list = HostListClient(session, str(settings.host_list))
+        await job(Clients(session, settings, store, host_list))
+
+
+def print_findings(findings: Iterable[Finding], *, as_json: bool) -> None:
+    """Print findings, one a line or as JSON."""
+    if as_json:
+        print_json({"findings": list(findings)})
+        return
+    for finding in findings:
+        click.echo(str(finding), err=True)
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    click.echo(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def fail(message: str, code: ExitCode = ExitCode.FAILED) -> NoReturn:
+    """Print why the command failed and exit."""
+    click.echo(message, err=True)
+    sys.exit(code)
--- /dev/null
+++ b/src/amaranthhollow/cli/main.py
@@ -0,0 +1,26 @@
+"""The command ``amaranthhollow``."""
+
+from __future__ import annotations
+
+import click
+
+from amaranthhollow.cli.config_commands import config
+from amaranthhollow.cli.host_commands import drain, state, status
+
+__all__ = ["main"]
+
+
+@click.group()
+@click.version_option(package_name="amaranthhollow")
+def main() -> None:
+    """Operate amaranthhollow.
+
+    Exit codes: 0 done, 1 failed, 2 findings or wrong usage, 3 superseded by
+    another revision, 4 outcome unknown.
+    """
+
+
+main.add_command(config)
+main.add_command(status)
+main.add_command(state)
+main.add_command(drain)
--- /dev/null
+++ b/src/amaranthhollow/configuration/overlay.py
@@ -0,0 +1,117 @@
+"""Merges a site's overlay over the base configuration and checks the result."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from amaranthhollow.configuration.model import Configuration
+from amaranthhollow.settings.checker import expectation
+from amaranthhollow.settings.findings import Finding
+
+if TYPE_CHECKING:
+    from pydantic_core import ErrorDetails
+
+    from amaranthhollow.settings.document import Document, KeyPath
+
+__all__ = ["SourceSet", "check_sources", "merge", "site_configuration"]
+
+
+@dataclass(frozen=True)
+class SourceSet:
+    """The documents an operator submits: one base and one overlay per site."""
+
+    base: Document
+    overlays_by_site: dict[str, Document]
+
+
+def merge(base: object, overlay: object) -> object:
+    """Return ``base`` with ``overlay`` laid over it.
+
+    Mappings merge key by key, ``None`` removes a key, and anything else
+    replaces: ``merge({"a": 1, "b": 2}, {"a": None, "b": 3})`` is ``{"b": 3}``.
+    """
+    if not isinstance(base, dict) or not isinstance(overlay, dict):
+        return overlay
+    merged = dict(base)
+    for key, value in overlay.items():
+        if value is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = merge(merged.get(key), value)
+    return merged
+
+
+def site_configuration(base: object, overlay: object) -> Configuration:
+    """Return the configuration of a site; the sources were checked before."""
+    return TypeAdapter(Configuration).validate_python(merge(base, overlay))
+
+
+def check_sources(sources: SourceSet) -> Result[None, tuple[Finding, ...]]:
+    """Check the base alone and under each overlay, and collect all findings."""
+    findings = set(_check_merged(sources.base, sources.base))
+    for overlay in sources.overlays_by_site.values():
+        findings.update(_check_merged(sources.base, overlay))
+    return Err(tuple(sorted(findings))) if findings else Ok(None)
+
+
+def _check_merged(base: Document, overlay: Document) -> list[Finding]:
+    if not isinstance(overlay.value, dict):
+        return [Finding(overlay.file, 1, "(document)", "a mapping")]
+    try:
+        configuration = site_configuration(base.value, overlay.value)
+    except ValidationError as error:
+        return [_place(detail, base, overlay) for detail in error.errors()]
+    return _duplicates(configuration, base, overlay)
+
+
+def _duplicates(
+    configuration: Configuration, base: Document, overlay: Document
+) -> list[Finding]:
+    """Report models and API keys that two entries claim."""
+    findings = []
+    seen: dict[str, str] = {}
+    claims = [
+        (("deployments", name, "model"), getattr(deployment, "model", None))
+        for name, deployment in configuration.deployments.items()
+    ] + [
+        (("workspaces", name, "key_sha256"), workspace.key_sha256)
+        for name, workspace in configuration.workspaces.items()
+    ]
+    for path, value in claims:
+        if value is None:
+            continue
+        owner = seen.setdefault(value, path[1])
+        if owner != path[1]:
+            source = _source_of(path, base, overlay)
+            findings.append(
+                Finding(
+                    source.file,
+                    source.line_of(path),
+                    ".".join(path),
+                    f"a value that {owner!r} does not already use",
+                )
+            )
+    return findings
+
+
+def _place(detail: ErrorDetails, base: Document, overlay: Document) -> Finding:
+    """Place an error in the overlay if its key stands there, else in the base."""
+    path = _without_variant(tuple(detail["loc"]))
+    source = _source_of(path, base, overlay)
+    key = ".".join(map(str, path)) or "(document)"
+    return Finding(source.file, source.line_of(path), key, expectation(detail))
+
+
+def _without_variant(path: KeyPath) -> KeyPath:
+    """Drop the part that pydantic adds for the kind of a deployment."""
+    if path[:1] == ("deployments",):
+        return path[:2] + path[3:]
+    return path
+
+
+def _source_of(path: KeyPath, base: Document, overlay: Document) -> Document:
+    return overlay if path in overlay.lines_by_path else base
--- /dev/null
+++ b/src/amaranthhollow/daemon/configuration_sync.py
@@ -0,0 +1,161 @@
+"""Brings accepted configuration revisions into force at this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+from pydantic import ValidationError
+from result import Ok
+
+from amaranthhollow.decisions.configuration import (
+    body_matches,
+    decode_body,
+    is_watcher,
+)
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.gossiping import Gossiping
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.decisions.configuration import HeadEntry, RevisionHead
+    from amaranthhollow.platform.configuration_store import ConfigurationStore
+
+__all__ = ["ConfigurationSync"]
+
+WATCH_RETRY_SECONDS = 0.5
+CHECK_SECONDS = 5.0
+MAX_BODIES = 4
+
+log = logbook.Logger("configuration")
+
+
+class ConfigurationSync:
+    """Learns of revisions by watch, by reading and from peers; applies newer ones."""
+
+    def __init__(self, node: Node, store: ConfigurationStore) -> None:
+        """Read from ``store``; gossip is attached afterwards."""
+        self._node = node
+        self._store = store
+        self._gossiping: Gossiping | None = None
+        self._bodies_by_change_id: dict[str, bytes] = {}
+        self._pending: HeadEntry | None = None
+        self._pending_sender = ""
+        self._wanted = asyncio.Event()
+
+    def attach(self, gossiping: Gossiping) -> None:
+        """Spread through ``gossiping`` what is learned from the service."""
+        self._gossiping = gossiping
+
+    def body(self, change_id: str) -> bytes | None:
+        """Return a body that is held here."""
+        return self._bodies_by_change_id.get(change_id)
+
+    def on_revision(self, entry: HeadEntry, sender: str) -> None:
+        """Note a revision that ``sender`` told of; it is applied soon."""
+        newest = self._pending.revision if self._pending else 0
+        if self._node.applied.supersedes(entry) or entry.revision <= newest:
+            return
+        self._pending, self._pending_sender = entry, sender
+        self._wanted.set()
+
+    async def run(self) -> None:
+        """Apply pending revisions, until cancelled."""
+        while True:
+            await self._wanted.wait()
+            if not await self._apply_pending():
+                await asyncio.sleep(WATCH_RETRY_SECONDS)
+
+    async def run_watch(self) -> None:
+        """Watch the service if this daemon is one of the watchers."""
+        while True:
+            if self._is_watcher():
+                await self.read_head()
+                async for head in self._store.watch_head():
+                    self._learn(head)
+                    if not self._is_watcher():
+                        break
+            await asyncio.sleep(WATCH_RETRY_SECONDS)
+
+    async def run_check(self) -> None:
+        """Read the head now and then, in case a watch fell silent."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS * self._node.random.uniform(0.8, 1.2))
+            if self._is_watcher():
+                await self.read_head()
+
+    async def read_head(self) -> bool:
+        """Read the newest revision from the service; False if it does not answer."""
+        head = await self._store.read_head()
+        if isinstance(head, Ok):
+            self._learn(head.ok_value)
+            return True
+        return False
+
+    def _is_watcher(self) -> bool:
+        membership = self._node.membership
+        return is_watcher(self._node.settings.host, membership.active_hosts)
+
+    def _learn(self, head: RevisionHead) -> None:
+        if head.newest is not None and self._gossiping is not None:
+            self._gossiping.publish_revision(head.newest)
+
+    async def _apply_pending(self) -> bool:
+        entry = self._pending
+        content = await self._fetch(entry, self._pending_sender)
+        if content is None:
+            self._node.counters.increment("configuration.fetch_failed")
+            return False
+        self._apply(entry, content)
+        if self._pending is entry:
+            self._pending = None
+            self._wanted.clear()
+        return True
+
+    def _apply(self, entry: HeadEntry, content: bytes) -> None:
+        node = self._node
+        self._bodies_by_change_id[entry.change_id] = content
+        while len(self._bodies_by_change_id) > MAX_BODIES:
+            del self._bodies_by_change_id[next(iter(self._bodies_by_change_id))]
+        try:
+            body = decode_body(content)
+            applied = node.applied.advanced(entry, body, node.settings.site)
+        except (msgspec.MsgspecError, ValidationError):
+            node.counters.increment("configuration.rejected")
+            log.error("revision {} cannot be applied here", entry.revision)
+            return
+        node.applied = applied
+        node.counters.increment("configuration.applied")
+        log.info("revision {} is in force", entry.revision)
+        if node.advance("configured"):
+            log.info("daemon is {}", node.lifecycle)
+
+    async def _fetch(self, entry: HeadEntry, sender: str) -> bytes | None:
+        """Get the body from the peer that told of it, the service, or any peer."""
+        change_id = entry.change_id
+        held = self._bodies_by_change_id.get(change_id)
+        if held is not None:
+            return held
+        content = await self._fetch_from_peer(sender, change_id) if sender else None
+        if content is None:
+            read = await self._store.read_body(change_id)
+            content = read.ok_value if isinstance(read, Ok) else None
+        for peer in self._node.membership.peers:
+            if content is not None:
+                break
+            content = await self._fetch_from_peer(peer, change_id)
+        if content is not None and body_matches(content, change_id):
+            return content
+        return None
+
+    async def _fetch_from_peer(self, host: str, change_id: str) -> bytes | None:
+        info = self._node.membership.info(host)
+        if info is None:
+            return None
+        reply = await self._node.links.call(
+            info.address, lambda peer: peer.fetchConfiguration(change_id)
+        )
+        if isinstance(reply, Ok) and reply.ok_value.body.found:
+            return bytes(reply.ok_value.body.content)
+        return None
--- /dev/null
+++ b/src/amaranthhollow/daemon/discovery.py
@@ -0,0 +1,117 @@
+"""Learns of hosts and of load: reads the platform's list and polls engines."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+from result import Err, Ok
+
+from amaranthhollow.decisions.endpoints import EndpointStatus, ListedEndpoint
+from amaranthhollow.decisions.gossip import Fact, Version
+from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus
+from amaranthhollow.decisions.rendezvous import owner
+from amaranthhollow.decisions.routing import LOAD_FACT, LoadReport
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.gossiping import Gossiping
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.decisions.endpoints import Endpoint
+    from amaranthhollow.platform.host_list import HostEntry, HostListing
+
+__all__ = ["Discovery"]
+
+LIST_SECONDS = 1.0
+LOAD_SECONDS = 0.5
+
+log = logbook.Logger("discovery")
+
+
+class Discovery:
+    """Feeds the platform's list and the engines' load into gossip."""
+
+    def __init__(self, node: Node, gossiping: Gossiping) -> None:
+        """Publish what is learned through ``gossiping``."""
+        self._node = node
+        self._gossiping = gossiping
+        self._is_list_available = True
+
+    async def run(self) -> None:
+        """Read the list at each interval, until cancelled."""
+        while True:
+            await self.read_list()
+            await asyncio.sleep(LIST_SECONDS)
+
+    async def run_load(self) -> None:
+        """Poll the load of the engines that this daemon owns, until cancelled."""
+        while True:
+            await asyncio.sleep(LOAD_SECONDS)
+            owned = [e for e in self._node.endpoints.all() if self._polls(e)]
+            await asyncio.gather(*(self._poll(endpoint) for endpoint in owned))
+
+    async def read_list(self) -> None:
+        """Read the list once; without it, what is known stays in force."""
+        listing = await self._node.host_list.read()
+        self._note_availability(isinstance(listing, Ok))
+        if isinstance(listing, Ok):
+            self._learn(listing.ok_value)
+
+    def _learn(self, listing: HostListing) -> None:
+        node = self._node
+        entries = [h for h in listing.hosts if h.role == "entry"]
+        for entry in entries:
+            info = DaemonInfo(entry.address, entry.data_centre, DaemonStatus.ALIVE)
+            node.membership.learn_listed(entry.host, info, node.now())
+        node.membership.forget_unlisted(entry.host for entry in entries)
+        listed = [_listed(h) for h in listing.hosts if h.role == "endpoint"]
+        facts = node.endpoints.facts_from_list(listed)
+        self._gossiping.publish(facts)
+        notices = (
+            node.endpoints.leaving_fact(notice.host, notice.leaves_at)
+            for notice in listing.notices
+        )
+        self._gossiping.publish(fact for fact in notices if fact is not None)
+
+    def _polls(self, endpoint: Endpoint) -> bool:
+        node = self._node
+        deployment = node.configuration.deployments.get(endpoint.listed.deployment)
+        is_engine = deployment is not None and deployment.kind == "model"
+        is_running = endpoint.state != "gone"
+        if not (is_engine and is_running):
+            return False
+        return owner(endpoint.host, node.membership.active_hosts) == node.settings.host
+
+    async def _poll(self, endpoint: Endpoint) -> None:
+        node = self._node
+        load = await node.engines.load(endpoint.url)
+        if isinstance(load, Err):
+            return
+        known = node.membership.table.get(LOAD_FACT, endpoint.host)
+        value = msgspec.msgpack.encode(LoadReport(load.ok_value))
+        if known is not None and known.value == value:
+            return
+        version = Version(int(node.now() * 1000))
+        self._gossiping.publish([Fact(LOAD_FACT, endpoint.host, version, value)])
+
+    def _note_availability(self, is_available: bool) -> None:
+        if is_available is self._is_list_available:
+            return
+        self._is_list_available = is_available
+        state = "available" if is_available else "unavailable"
+        log.warning("the host list is {}", state)
+
+
+def _listed(entry: HostEntry) -> ListedEndpoint:
+    is_leaving = entry.state == "leaving"
+    return ListedEndpoint(
+        host=entry.host,
+        incarnation=entry.incarnation,
+        address=entry.address,
+        port=entry.port,
+        data_centre=entry.data_centre,
+        deployment=entry.deployment,
+        status=EndpointStatus.LEAVING if is_leaving else EndpointStatus.LIVE,
+        leaves_at=entry.leaves_at,
+    )
--- /dev/null
+++ b/src/amaranthhollow/daemon/gossiping.py
@@ -0,0 +1,119 @@
+"""Exchanges gossip with peers and acts on the facts that are new."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+from result import Err
+
+from amaranthhollow.decisions.configuration import CONFIGURATION_FACT, HeadEntry
+from amaranthhollow.decisions.endpoints import ENDPOINT_FACT
+from amaranthhollow.decisions.gossip import Fact, GossipMessage, Version, select_peers
+from amaranthhollow.decisions.routing import LOAD_FACT, LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from amaranthhollow.daemon.node import Node
+
+__all__ = ["Gossiping"]
+
+EXCHANGE_SECONDS = 0.5
+FANOUT = 2
+
+log = logbook.Logger("gossip")
+_decoder = msgspec.msgpack.Decoder(GossipMessage)
+
+
+class Gossiping:
+    """Keeps this daemon's facts and its peers' in step."""
+
+    def __init__(
+        self, node: Node, on_revision: Callable[[HeadEntry, str], None]
+    ) -> None:
+        """Call ``on_revision`` with each newer revision and the peer that told."""
+        self._node = node
+        self._on_revision = on_revision
+
+    async def run(self) -> None:
+        """Exchange with a few peers at each interval, until cancelled."""
+        while True:
+            await asyncio.sleep(EXCHANGE_SECONDS * self._node.random.uniform(0.8, 1.2))
+            await self.exchange_once()
+
+    async def exchange_once(self) -> None:
+        """Exchange with a few peers and expire suspicions."""
+        node = self._node
+        peers = select_peers(node.membership.peers, FANOUT, node.random.randrange)
+        await asyncio.gather(*(self._exchange(peer) for peer in peers))
+        for host in node.membership.expire(node.now()):
+            node.counters.increment("members.lost")
+            log.warning("daemon on {} is lost", host)
+        for host in node.endpoints.expire(node.now()):
+            node.membership.table.remove(ENDPOINT_FACT, host)
+            node.membership.table.remove(LOAD_FACT, host)
+            node.router.forget(host)
+
+    def receive(self, message: GossipMessage) -> GossipMessage:
+        """Take in a peer's message and return the reply."""
+        self.publish(message.facts, message.sender)
+        return self._node.membership.table.message(message)
+
+    def publish(self, facts: Iterable[Fact], sender: str = "") -> None:
+        """Take in facts, from here or from ``sender``, and act on new ones."""
+        node = self._node
+        for fact in node.membership.merge(facts, node.now()):
+            match fact.kind:
+                case "endpoint":
+                    self._apply_endpoint(fact)
+                case "configuration":
+                    entry = msgspec.json.decode(fact.value, type=HeadEntry)
+                    self._on_revision(entry, sender)
+                case "load":
+                    report = msgspec.msgpack.decode(fact.value, type=LoadReport)
+                    node.router.reported(fact.name, report.requests)
+
+    def publish_revision(self, entry: HeadEntry) -> None:
+        """Spread the newest accepted revision."""
+        version = Version(entry.revision)
+        value = msgspec.json.encode(entry)
+        self.publish([Fact(CONFIGURATION_FACT, "head", version, value)])
+
+    async def _exchange(self, host: str) -> None:
+        node = self._node
+        info = node.membership.info(host)
+        if info is None:
+            return
+        message = msgspec.msgpack.encode(node.membership.table.message())
+        reply = await node.links.call(info.address, lambda p: p.exchange(message))
+        if isinstance(reply, Err):
+            node.counters.increment("gossip.failed")
+            node.membership.exchange_failed(host, node.now())
+            return
+        data = bytes(reply.ok_value.message)
+        node.counters.increment("gossip.exchanges")
+        node.counters.increment("gossip.bytes", len(message) + len(data))
+        received = _decoder.decode(data)
+        self.publish(received.facts, host)
+        if received.differing:
+            await self._send_wanted(info.address, received)
+
+    async def _send_wanted(self, address: str, received: GossipMessage) -> None:
+        """Send the facts of the buckets in which the peer differs."""
+        message = self._node.membership.table.message(received)
+        if not message.facts:
+            return
+        data = msgspec.msgpack.encode(message)
+        self._node.counters.increment("gossip.bytes", len(data))
+        await self._node.links.call(address, lambda peer: peer.exchange(data))
+
+    def _apply_endpoint(self, fact: Fact) -> None:
+        node = self._node
+        before = node.endpoints.get(fact.name)
+        after = node.endpoints.apply(fact, node.now())
+        if before is None or before.state != after.state:
+            node.counters.increment(f"endpoints.{after.state}")
+            log.info("endpoint {} is {}", fact.name, after.state)
--- /dev/null
+++ b/src/amaranthhollow/daemon/http_server.py
@@ -0,0 +1,58 @@
+"""Runs an ASGI application on uvicorn inside the daemon's own loop."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import uvicorn
+
+if TYPE_CHECKING:
+    import falcon.asgi
+
+__all__ = ["HttpServer"]
+
+START_POLL_SECONDS = 0.01
+BACKLOG = 1024
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server without signal handlers of its own."""
+
+    def __init__(self, app: falcon.asgi.App, address: str, port: int) -> None:
+        """Serve ``app`` at ``address``; nothing listens yet."""
+        config = uvicorn.Config(
+            app,
+            host=address,
+            port=port,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            backlog=BACKLOG,
+            server_header=False,
+        )
+        super().__init__(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen; raises OSError if the address cannot be bound."""
+        self._task = asyncio.create_task(self._run())
+        while not self.started:
+            if self._task.done():
+                self._task.result()
+                raise OSError(f"cannot listen on {self.config.host}")
+            await asyncio.sleep(START_POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop listening and wait for every open request to end."""
+        self.should_exit = True
+        if self._task is not None:
+            await self._task
+
+    async def _run(self) -> None:
+        try:
+            await self._serve()
+        except SystemExit as error:
+            raise OSError(
+                f"cannot listen on {self.config.host}:{self.config.port}"
+            ) from error
--- /dev/null
+++ b/src/amaranthhollow/daemon/node.py
@@ -0,0 +1,97 @@
+"""What one daemon knows and shares among its parts."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from amaranthhollow.decisions.endpoints import EndpointTable
+from amaranthhollow.decisions.limits import WorkspaceLimiter
+from amaranthhollow.decisions.retries import RetryBudget
+from amaranthhollow.decisions.routing import Router
+from amaranthhollow.decisions.statechart import load_chart
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from amaranthhollow.configuration.model import Configuration
+    from amaranthhollow.daemon.counters import Counters
+    from amaranthhollow.decisions.configuration import AppliedConfiguration
+    from amaranthhollow.decisions.membership import Membership
+    from amaranthhollow.endpoints.engine import EngineClient
+    from amaranthhollow.endpoints.service import ServiceClient
+    from amaranthhollow.peers.links import PeerLinks
+    from amaranthhollow.platform.claim_store import ClaimStore
+    from amaranthhollow.platform.host_list import HostListClient
+    from amaranthhollow.platform.key_value import KeyValueClient
+    from amaranthhollow.settings.model import DaemonSettings
+
+__all__ = ["Node"]
+
+
+@dataclass
+class Node:
+    """The state and the clients of one daemon; each part uses what it needs."""
+
+    settings: DaemonSettings
+    incarnation: int
+    membership: Membership
+    counters: Counters
+    claims: ClaimStore
+    engines: EngineClient
+    services: ServiceClient
+    key_value: KeyValueClient
+    host_list: HostListClient
+    links: PeerLinks
+    random: Random
+    applied: AppliedConfiguration
+    endpoints: EndpointTable = field(default_factory=EndpointTable)
+    router: Router = field(default_factory=Router)
+    limiter: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    lifecycle: str = load_chart("daemon").initial
+    open_requests: int = 0
+    claim_sequence: int = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force here."""
+        return self.applied.configuration
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return self.lifecycle == "ready"
+
+    def now(self) -> float:
+        """Return the instant in seconds since the Unix epoch."""
+        return time.time()
+
+    def advance(self, event: str) -> bool:
+        """Move the daemon's lifecycle if it accepts ``event``."""
+        chart = load_chart("daemon")
+        if not chart.accepts(self.lifecycle, event):
+            return False
+        self.lifecycle = chart.advance(self.lifecycle, event)
+        return True
+
+    def next_claim_id(self) -> str:
+        """Return an identifier that no other claim has."""
+        self.claim_sequence += 1
+        return f"{self.settings.host}-{self.incarnation}-{self.claim_sequence}"
+
+    def retry_after_seconds(self, delay_seconds: float) -> int:
+        """Return a Retry-After that spreads callers who come back together."""
+        spread = self.random.uniform(0, max(1.0, delay_seconds))
+        return max(1, round(delay_seconds + spread))
+
+    def may_retry(self) -> bool:
+        """Take one retry from the budget, if there is room."""
+        remaining = self.retry_budget.spent()
+        if remaining is None:
+            self.counters.increment("retries.refused")
+            return False
+        self.retry_budget = remaining
+        self.counters.increment("retries.sent")
+        return True
--- /dev/null
+++ b/src/amaranthhollow/daemon/peer_handler.py
@@ -0,0 +1,62 @@
+"""What this daemon does with the calls of its peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from amaranthhollow.gateway.live_streams import LiveStream
+from amaranthhollow.peers.stream_tails import StreamTail
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.configuration_sync import ConfigurationSync
+    from amaranthhollow.daemon.gossiping import Gossiping
+    from amaranthhollow.decisions.gossip import GossipMessage
+    from amaranthhollow.gateway.live_streams import StreamRegistry
+
+__all__ = ["DaemonPeerHandler"]
+
+
+class DaemonPeerHandler:
+    """Answers peers from the daemon's parts."""
+
+    def __init__(
+        self,
+        gossiping: Gossiping,
+        configuration: ConfigurationSync,
+        streams: StreamRegistry,
+    ) -> None:
+        """Answer from these parts."""
+        self._gossiping = gossiping
+        self._configuration = configuration
+        self._streams = streams
+
+    def exchange(self, message: GossipMessage) -> GossipMessage:
+        """Take in a gossip message and return the reply."""
+        return self._gossiping.receive(message)
+
+    def configuration_body(self, change_id: str) -> bytes | None:
+        """Return a configuration body, if it is held here."""
+        return self._configuration.body(change_id)
+
+    def stream_tail(self, key_digest: bytes, after_id: int) -> StreamTail | None:
+        """Return the events of a stream after ``after_id``."""
+        stream = self._streams.get(key_digest)
+        if stream is None or stream.problem is not None:
+            return None
+        return tail_of(stream, after_id)
+
+    def adopt_stream(self, key_digest: bytes, tail: StreamTail) -> None:
+        """Keep the emitted part of a stream for a caller who reconnects."""
+        if self._streams.get(key_digest) is None:
+            stream = LiveStream(tail.prompt_tokens)
+            stream.adopt(tail.events)
+            self._streams.put(key_digest, stream)
+
+
+def tail_of(stream: LiveStream, after_id: int) -> StreamTail:
+    """Return the events of ``stream`` after ``after_id``."""
+    return StreamTail(
+        prompt_tokens=stream.prompt_tokens,
+        is_produced=stream.has_producer and not stream.is_ended,
+        events=stream.assembler.emitted[after_id:],
+    )
--- /dev/null
+++ b/src/amaranthhollow/daemon/service.py
@@ -0,0 +1,168 @@
+"""Composes a daemon from its parts and runs it from start to graceful shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+import capnp
+import logbook
+
+from amaranthhollow.daemon.configuration_sync import ConfigurationSync
+from amaranthhollow.daemon.counters import Counters
+from amaranthhollow.daemon.discovery import Discovery
+from amaranthhollow.daemon.gossiping import Gossiping
+from amaranthhollow.daemon.http_server import HttpServer
+from amaranthhollow.daemon.node import Node
+from amaranthhollow.daemon.operator_app import operator_app
+from amaranthhollow.daemon.peer_handler import DaemonPeerHandler
+from amaranthhollow.daemon.state_dump import dump_state
+from amaranthhollow.decisions.configuration import AppliedConfiguration
+from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
+from amaranthhollow.endpoints.engine import EngineClient
+from amaranthhollow.endpoints.service import ServiceClient
+from amaranthhollow.endpoints.sessions import open_session
+from amaranthhollow.gateway.app import caller_app
+from amaranthhollow.gateway.live_streams import StreamRegistry
+from amaranthhollow.peers.links import PeerLinks
+from amaranthhollow.peers.server import serve_peers
+from amaranthhollow.platform.claim_store import ClaimStore
+from amaranthhollow.platform.configuration_store import ConfigurationStore
+from amaranthhollow.platform.host_list import HostListClient
+from amaranthhollow.platform.key_value import KeyValueClient
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    import aiohttp
+
+    from amaranthhollow.settings.model import DaemonSettings
+
+__all__ = ["run_daemon"]
+
+DRAIN_NOTICE_SECONDS = 1.0
+DRAIN_FLUSH_SECONDS = 5.0
+STREAM_EXPIRY_SECONDS = 1.0
+
+log = logbook.Logger("daemon")
+
+
+async def run_daemon(settings: DaemonSettings) -> None:
+    """Run a daemon until a signal or an operator drains it."""
+    async with capnp.kj_loop(), open_session() as session:
+        await _Daemon(settings, session).run()
+
+
+class _Daemon:
+    """The parts of one daemon and their tasks."""
+
+    def __init__(self, settings: DaemonSettings, session: aiohttp.ClientSession):
+        self._node = node = _build_node(settings, session)
+        self._streams = StreamRegistry()
+        store = ConfigurationStore(node.key_value)
+        self._configuration = ConfigurationSync(node, store)
+        self._gossiping = Gossiping(node, self._configuration.on_revision)
+        self._configuration.attach(self._gossiping)
+        self._discovery = Discovery(node, self._gossiping)
+        self._handler = DaemonPeerHandler(
+            self._gossiping, self._configuration, self._streams
+        )
+        self._drain_requested = asyncio.Event()
+        address = str(settings.address)
+        callers = caller_app(node, self._streams)
+        operators = operator_app(node, self._streams, self._drain_requested.set)
+        self._callers = HttpServer(callers, address, settings.caller_port)
+        self._operators = HttpServer(operators, address, settings.operator_port)
+
+    async def run(self) -> None:
+        """Start, serve until drained, and stop in order."""
+        self._handle_signals()
+        settings = self._node.settings
+        peers = await serve_peers(
+            self._handler, str(settings.address), settings.peer_port
+        )
+        await self._operators.start()
+        await self._callers.start()
+        tasks = [asyncio.create_task(job) for job in self._jobs()]
+        tasks.append(asyncio.create_task(peers.serve_forever()))
+        log.info("daemon is {}", self._node.lifecycle)
+        await self._drain_requested.wait()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._operators.stop()
+        self._node.links.close()
+        peers.close()
+        self._node.counters.flush()
+
+    def _jobs(self) -> list[Coroutine[None, None, None]]:
+        return [
+            self._discovery.run(),
+            self._discovery.run_load(),
+            self._gossiping.run(),
+            self._configuration.run(),
+            self._configuration.run_watch(),
+            self._configuration.run_check(),
+            self._node.counters.flush_forever(),
+            self._expire_streams(),
+        ]
+
+    async def _drain(self) -> None:
+        """Leave the balancer first, then finish every request, then record."""
+        node = self._node
+        node.advance("drain")
+        log.info("daemon is {}", node.lifecycle)
+        node.membership.drain()
+        await self._gossiping.exchange_once()
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
+        await self._callers.stop()
+        is_flushed = await node.claims.flush(node.now() + DRAIN_FLUSH_SECONDS)
+        if not is_flushed:
+            log.warning("{} outcomes were not recorded", node.claims.unfinished)
+        node.advance("drained")
+        log.info("daemon is {}", node.lifecycle)
+
+    async def _expire_streams(self) -> None:
+        while True:
+            await asyncio.sleep(STREAM_EXPIRY_SECONDS)
+            self._streams.expire(self._node.now())
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._drain_requested.set)
+        loop.add_signal_handler(signal.SIGINT, self._drain_requested.set)
+        loop.add_signal_handler(signal.SIGUSR1, self._print_state)
+
+    def _print_state(self) -> None:
+        dump = dump_state(self._node, self._streams)
+        sys.stderr.write(dump.decode() + "\n")
+        sys.stderr.flush()
+
+
+def _build_node(settings: DaemonSettings, session: aiohttp.ClientSession) -> Node:
+    incarnation = int(time.time() * 1000)
+    info = DaemonInfo(
+        address=str(settings.address),
+        data_centre=settings.data_centre,
+        status=DaemonStatus.ALIVE,
+    )
+    key_value = KeyValueClient(session, str(settings.key_value_service))
+    return Node(
+        settings=settings,
+        incarnation=incarnation,
+        membership=Membership(settings.host, incarnation, info),
+        counters=Counters(settings.statsd, f"amaranthhollow.{settings.host}"),
+        claims=ClaimStore(key_value, time.time),
+        engines=EngineClient(session),
+        services=ServiceClient(session),
+        key_value=key_value,
+        host_list=HostListClient(session, str(settings.host_list)),
+        links=PeerLinks(settings.peer_port),
+        random=Random(f"{settings.host}-{incarnation}"),
+        applied=AppliedConfiguration(),
+    )
--- /dev/null
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -0,0 +1,83 @@
+"""The dump of a daemon's state, for operators."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from amaranthhollow.decisions.claim_records import SHARD_COUNT
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.gateway.live_streams import StreamRegistry
+
+__all__ = ["dump_state"]
+
+
+def dump_state(node: Node, streams: StreamRegistry) -> bytes:
+    """Return the state as JSON; it holds no key and nothing a caller sent."""
+    document = {
+        "host": node.settings.host,
+        "data_centre": node.settings.data_centre,
+        "site": node.settings.site,
+        "incarnation": node.incarnation,
+        "state": node.lifecycle,
+        "now": node.now(),
+        "open_requests": node.open_requests,
+        "configuration": {
+            "revision": node.applied.revision,
+            "change_id": node.applied.change_id,
+            "deployments": sorted(node.configuration.deployments),
+            "workspaces": sorted(node.configuration.workspaces),
+        },
+        "members_by_host": {
+            host: {
+                "address": info.address,
+                "data_centre": info.data_centre,
+                "status": info.status.name.lower(),
+            }
+            for host, info in sorted(node.membership.infos().items())
+        },
+        "endpoints_by_host": _endpoints(node),
+        "claims_by_shard": {
+            str(shard): _shard(node, shard) for shard in range(SHARD_COUNT)
+        },
+        "streams": len(streams),
+        "facts": len(node.membership.table),
+        "retry_budget": node.retry_budget.tokens,
+        "key_value_calls_by_kind": node.key_value.calls_by_kind,
+        "counters_by_name": node.counters.totals(),
+    }
+    return msgspec.json.encode(document)
+
+
+def _endpoints(node: Node) -> dict[str, Any]:
+    return {
+        endpoint.host: {
+            "deployment": endpoint.listed.deployment,
+            "data_centre": endpoint.listed.data_centre,
+            "url": endpoint.url,
+            "incarnation": endpoint.listed.incarnation,
+            "state": endpoint.state,
+            "leaves_at": endpoint.listed.leaves_at,
+            "failures": endpoint.failures,
+            "retry_at": endpoint.retry_at,
+            "load": asdict(node.router.load(endpoint.host)),
+        }
+        for endpoint in sorted(node.endpoints.all(), key=lambda e: e.host)
+    }
+
+
+def _shard(node: Node, shard: int) -> dict[str, Any]:
+    state = node.claims.state(shard)
+    return {
+        "phase": state.phase.value,
+        "revision": state.view.revision if state.view else None,
+        "records": len(state.view.head.records) if state.view else None,
+        "segments": len(state.view.head.segments) if state.view else None,
+        "waiting": len(state.waiting),
+        "outcomes_to_record": len(state.outcomes),
+        "retry_at": state.retry_at,
+    }
--- /dev/null
+++ b/src/amaranthhollow/decisions/configuration.py
@@ -0,0 +1,141 @@
+"""Configuration revisions: which one is in force, and who may write the next.
+
+The head names the newest accepted revision. Bodies are immutable and named by
+their change, so a body may come from the service or from any peer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+from amaranthhollow.configuration.model import Configuration
+from amaranthhollow.configuration.overlay import site_configuration
+from amaranthhollow.decisions.rendezvous import ranked
+
+__all__ = [
+    "CONFIGURATION_FACT",
+    "AppliedConfiguration",
+    "Body",
+    "HeadEntry",
+    "RevisionHead",
+    "body_matches",
+    "change_id_of",
+    "decode_body",
+    "decode_revision_head",
+    "encode",
+    "is_watcher",
+]
+
+CONFIGURATION_FACT = "configuration"
+CHANGE_ID_BYTES = 12
+WATCHER_COUNT = 3
+
+
+class Body(msgspec.Struct, frozen=True):
+    """The whole configuration of one revision: base and overlays as submitted.
+
+    ``nonce`` makes each submission a change of its own, even of equal content.
+    """
+
+    base: dict[str, Any]
+    overlays_by_site: dict[str, dict[str, Any]]
+    author: str
+    note: str
+    nonce: str
+
+
+class HeadEntry(msgspec.Struct, frozen=True):
+    """One accepted revision; ``accepted_at`` is in seconds since the Unix epoch."""
+
+    revision: int
+    change_id: str
+    author: str
+    note: str
+    accepted_at: float
+
+
+class RevisionHead(msgspec.Struct, frozen=True):
+    """The value under compare-and-swap: recent revisions, newest last."""
+
+    entries: tuple[HeadEntry, ...] = ()
+
+    @property
+    def revision(self) -> int:
+        """The newest revision; 0 before the first."""
+        return self.entries[-1].revision if self.entries else 0
+
+    @property
+    def newest(self) -> HeadEntry | None:
+        """The newest entry."""
+        return self.entries[-1] if self.entries else None
+
+    def find_change(self, change_id: str) -> HeadEntry | None:
+        """Return the entry that a change led to."""
+        for entry in self.entries:
+            if entry.change_id == change_id:
+                return entry
+        return None
+
+    def after(self, revision: int) -> tuple[HeadEntry, ...]:
+        """Return the revisions accepted after ``revision``."""
+        return tuple(entry for entry in self.entries if entry.revision > revision)
+
+
+@dataclass(frozen=True)
+class AppliedConfiguration:
+    """The revision in force at one daemon; it only ever rises."""
+
+    revision: int = 0
+    change_id: str = ""
+    configuration: Configuration = field(default_factory=Configuration)
+
+    def supersedes(self, entry: HeadEntry) -> bool:
+        """Tell whether ``entry`` is not newer than what is in force."""
+        return entry.revision <= self.revision
+
+    def advanced(self, entry: HeadEntry, body: Body, site: str) -> AppliedConfiguration:
+        """Return the state with ``entry`` in force, unless it is not newer."""
+        if self.supersedes(entry):
+            return self
+        overlay = body.overlays_by_site.get(site, {})
+        configuration = site_configuration(body.base, overlay)
+        return AppliedConfiguration(entry.revision, entry.change_id, configuration)
+
+
+def is_watcher(host: str, members: list[str]) -> bool:
+    """Tell whether ``host`` is one of the few that watch the service.
+
+    A waiting watch counts as a call, so the other members learn by gossip.
+    """
+    return host in ranked(CONFIGURATION_FACT, members)[:WATCHER_COUNT]
+
+
+def encode(value: Body | RevisionHead | HeadEntry) -> bytes:
+    """Return ``value`` as JSON."""
+    return msgspec.json.encode(value)
+
+
+def decode_body(content: bytes) -> Body:
+    """Read a body; raises ``msgspec.MsgspecError`` if it is not one."""
+    return msgspec.json.decode(content, type=Body)
+
+
+def decode_revision_head(content: bytes) -> RevisionHead:
+    """Read a head; raises ``msgspec.MsgspecError`` if it is not one."""
+    return (
+        msgspec.json.decode(content, type=RevisionHead) if content else RevisionHead()
+    )
+
+
+def change_id_of(content: bytes) -> str:
+    """Return the identifier of an encoded body: a digest of it."""
+    return blake2b(content, digest_size=CHANGE_ID_BYTES).hexdigest()
+
+
+def body_matches(content: bytes, change_id: str) -> bool:
+    """Tell whether ``content`` is the body that ``change_id`` names."""
+    return change_id_of(content) == change_id
--- /dev/null
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -0,0 +1,193 @@
+"""Which endpoints are live, leaving or gone, from the host list, notices and gossip.
+
+Facts about an endpoint are ordered by its incarnation and then by status, so that
+leaving is sticky: neither a late list nor a late peer brings an endpoint back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from amaranthhollow.decisions.gossip import Fact, Version
+from amaranthhollow.decisions.statechart import load_chart
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = [
+    "ENDPOINT_FACT",
+    "Endpoint",
+    "EndpointStatus",
+    "EndpointTable",
+    "ListedEndpoint",
+]
+
+ENDPOINT_FACT = "endpoint"
+GONE_RETENTION_SECONDS = 3600.0
+FAILURE_BACKOFF_SECONDS = 0.5
+MAX_FAILURE_BACKOFF_SECONDS = 10.0
+
+
+class EndpointStatus(IntEnum):
+    """The status of one incarnation of an endpoint; it only ever rises."""
+
+    LIVE = 0
+    LEAVING = 1
+    GONE = 2
+
+
+class ListedEndpoint(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint as the platform lists it.
+
+    ``leaves_at`` is the announced instant of the reclaim, in seconds since the
+    Unix epoch, or 0 if none is announced.
+    """
+
+    host: str
+    incarnation: int
+    address: str
+    port: int
+    data_centre: str
+    deployment: str
+    status: EndpointStatus = EndpointStatus.LIVE
+    leaves_at: float = 0.0
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """An endpoint as this daemon sees it.
+
+    ``state`` follows the chart ``endpoint``; ``retry_at`` is the instant until
+    which a failed endpoint gets no request.
+    """
+
+    listed: ListedEndpoint
+    state: str
+    failures: int = 0
+    retry_at: float = 0.0
+
+    @property
+    def host(self) -> str:
+        """The host that names the endpoint."""
+        return self.listed.host
+
+    @property
+    def url(self) -> str:
+        """Base URL of the endpoint."""
+        return f"http://{self.listed.address}:{self.listed.port}"
+
+
+class EndpointTable:
+    """The endpoints that one daemon knows, by host."""
+
+    def __init__(self) -> None:
+        """Start without endpoints."""
+        self._chart = load_chart("endpoint")
+        self._by_host: dict[str, Endpoint] = {}
+        self._gone_until_by_host: dict[str, float] = {}
+
+    def get(self, host: str) -> Endpoint | None:
+        """Return the endpoint on ``host``."""
+        return self._by_host.get(host)
+
+    def all(self) -> list[Endpoint]:
+        """Return every endpoint, gone ones included."""
+        return list(self._by_host.values())
+
+    def usable(self, deployment: str, now: float) -> list[Endpoint]:
+        """Return the endpoints of a deployment that may get new work."""
+        return [
+            endpoint
+            for endpoint in self._by_host.values()
+            if endpoint.listed.deployment == deployment
+            and endpoint.state in ("live", "suspected")
+            and endpoint.retry_at <= now
+        ]
+
+    def facts_from_list(self, listed: Iterable[ListedEndpoint]) -> list[Fact]:
+        """Return the facts of a host list; hosts that it lacks are gone."""
+        by_host = {item.host: item for item in listed}
+        facts = [fact_of(item) for item in by_host.values()]
+        for host, endpoint in self._by_host.items():
+            if host not in by_host and endpoint.state != "gone":
+                status = EndpointStatus.GONE
+                item = msgspec.structs.replace(endpoint.listed, status=status)
+                facts.append(fact_of(item))
+        return facts
+
+    def leaving_fact(self, host: str, leaves_at: float) -> Fact | None:
+        """Return the fact of a reclaim notice, or None for an unknown host."""
+        endpoint = self._by_host.get(host)
+        if endpoint is None:
+            return None
+        item = msgspec.structs.replace(
+            endpoint.listed, status=EndpointStatus.LEAVING, leaves_at=leaves_at
+        )
+        return fact_of(item)
+
+    def apply(self, fact: Fact, now: float) -> Endpoint:
+        """Take in a fact that gossip found new."""
+        item = msgspec.msgpack.decode(fact.value, type=ListedEndpoint)
+        known = self._by_host.get(item.host)
+        if known is None or known.listed.incarnation < item.incarnation:
+            known = Endpoint(item, self._chart.initial)
+        event = _EVENTS_BY_STATUS[item.status]
+        state = known.state
+        if event is not None and self._chart.accepts(state, event):
+            state = self._chart.advance(state, event)
+        endpoint = Endpoint(item, state, known.failures, known.retry_at)
+        self._by_host[item.host] = endpoint
+        if state == "gone":
+            deadline = now + GONE_RETENTION_SECONDS
+            self._gone_until_by_host.setdefault(item.host, deadline)
+        return endpoint
+
+    def failed(self, host: str, now: float) -> None:
+        """Keep new work away from an endpoint for a while after a failure."""
+        endpoint = self._by_host.get(host)
+        if endpoint is None:
+            return
+        failures = endpoint.failures + 1
+        backoff = FAILURE_BACKOFF_SECONDS * 2 ** min(failures - 1, 8)
+        retry_at = now + min(backoff, MAX_FAILURE_BACKOFF_SECONDS)
+        state = self._move(endpoint.state, "suspect")
+        self._by_host[host] = Endpoint(endpoint.listed, state, failures, retry_at)
+
+    def succeeded(self, host: str) -> None:
+        """End the suspicion of an endpoint that answered."""
+        endpoint = self._by_host.get(host)
+        if endpoint is not None and endpoint.failures:
+            state = self._move(endpoint.state, "recover")
+            self._by_host[host] = Endpoint(endpoint.listed, state)
+
+    def expire(self, now: float) -> list[str]:
+        """Forget endpoints that have been gone for long, and return their hosts."""
+        expired = [h for h, until in self._gone_until_by_host.items() if until <= now]
+        for host in expired:
+            del self._gone_until_by_host[host]
+            endpoint = self._by_host.get(host)
+            if endpoint is not None and endpoint.state == "gone":
+                del self._by_host[host]
+        return expired
+
+    def _move(self, state: str, event: str) -> str:
+        if self._chart.accepts(state, event):
+            return self._chart.advance(state, event)
+        return state
+
+
+_EVENTS_BY_STATUS = {
+    EndpointStatus.LIVE: None,
+    EndpointStatus.LEAVING: "leave",
+    EndpointStatus.GONE: "vanish",
+}
+
+
+def fact_of(item: ListedEndpoint) -> Fact:
+    """Return the fact that says what the platform lists."""
+    version = Version(item.incarnation, int(item.status))
+    return Fact(ENDPOINT_FACT, item.host, version, msgspec.msgpack.encode(item))
--- /dev/null
+++ b/src/amaranthhollow/decisions/routing.py
@@ -0,0 +1,99 @@
+"""Chooses an endpoint: prefix affinity with bounded load."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from amaranthhollow.decisions.rendezvous import ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from amaranthhollow.decisions.endpoints import Endpoint
+
+__all__ = ["LOAD_FACT", "Load", "LoadReport", "Router", "prefix_key"]
+
+LOAD_FACT = "load"
+
+BOUNDED_LOAD_FACTOR = 1.25
+PREFIX_CHARACTERS = 256
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """Requests at an endpoint, running and waiting, as it last reported."""
+
+    requests: int
+
+
+@dataclass(frozen=True)
+class Load:
+    """Requests at one endpoint: own ones exactly, all of them as last reported."""
+
+    own: int = 0
+    reported: int = 0
+
+    @property
+    def estimate(self) -> int:
+        """Requests there are at least."""
+        return max(self.own, self.reported)
+
+
+class Router:
+    """Counts this daemon's requests by endpoint and chooses the next one."""
+
+    def __init__(self) -> None:
+        """Start without load."""
+        self._loads_by_host: dict[str, Load] = {}
+
+    def load(self, host: str) -> Load:
+        """Return what is known of the load of an endpoint."""
+        return self._loads_by_host.get(host, Load())
+
+    def started(self, host: str) -> None:
+        """Count a request sent to an endpoint."""
+        load = self.load(host)
+        self._loads_by_host[host] = Load(load.own + 1, load.reported + 1)
+
+    def ended(self, host: str) -> None:
+        """Count a request that an endpoint is done with."""
+        load = self.load(host)
+        self._loads_by_host[host] = Load(
+            max(0, load.own - 1), max(0, load.reported - 1)
+        )
+
+    def reported(self, host: str, requests: int) -> None:
+        """Take in a load report."""
+        self._loads_by_host[host] = Load(self.load(host).own, requests)
+
+    def forget(self, host: str) -> None:
+        """Forget an endpoint that is gone."""
+        self._loads_by_host.pop(host, None)
+
+    def choose(
+        self, endpoints: Collection[Endpoint], key: str, tried: Collection[str] = ()
+    ) -> Endpoint | None:
+        """Choose an endpoint for a request with the prefix ``key``.
+
+        The endpoints are ranked by rendezvous hash of the key; the first whose
+        load is within a factor of the mean takes the request. Endpoints in
+        ``tried`` come into question only when there is no other.
+        """
+        fresh = [e for e in endpoints if e.host not in tried]
+        by_host = {endpoint.host: endpoint for endpoint in fresh or endpoints}
+        if not by_host:
+            return None
+        total = sum(self.load(host).estimate for host in by_host)
+        bound = BOUNDED_LOAD_FACTOR * (total + 1) / len(by_host)
+        order = ranked(key, by_host)
+        for host in order:
+            if self.load(host).estimate + 1 <= max(bound, 1.0):
+                return by_host[host]
+        return by_host[min(order, key=lambda host: self.load(host).estimate)]
+
+
+def prefix_key(deployment: str, prompt: str) -> str:
+    """Return the routing key of a prompt: its deployment and first characters."""
+    return f"{deployment}\0{prompt[:PREFIX_CHARACTERS]}"
--- /dev/null
+++ b/src/amaranthhollow/endpoints/__init__.py
@@ -0,0 +1,5 @@
+"""Clients of model engines and plain services."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/src/amaranthhollow/endpoints/engine.py
@@ -0,0 +1,196 @@
+"""Client of model engines: streams of tokens, load, and moves of KV cache."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from amaranthhollow.decisions.retries import AttemptFailure
+from amaranthhollow.decisions.streams import Chunk, StreamEnd
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+__all__ = ["AttemptFailed", "EngineClient", "EngineRequest", "KvHandle"]
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+REPORT_TIMEOUT_SECONDS = 1.0
+
+
+class AttemptFailed(Exception):
+    """An attempt ended without its whole answer.
+
+    ``status`` is the engine's HTTP status if it refused, else 0.
+    """
+
+    def __init__(self, failure: AttemptFailure, message: str, status: int = 0) -> None:
+        super().__init__(message)
+        self.failure = failure
+        self.status = status
+
+
+@dataclass(frozen=True)
+class EngineRequest:
+    """One attempt at producing an answer, or the rest of one.
+
+    ``prompt`` is text for a completion or messages for a chat; ``emitted`` is
+    the text that callers already have, of ``position`` tokens.
+    """
+
+    request_id: str
+    model: str
+    prompt: str | tuple[dict[str, Any], ...]
+    max_tokens: int
+    attempt: int
+    sampling: dict[str, Any] = field(default_factory=dict)
+    emitted: str = ""
+    position: int = 0
+    kv_handle: str = ""
+
+    @property
+    def path(self) -> str:
+        """Path of the engine's interface for this kind of prompt."""
+        is_text = isinstance(self.prompt, str)
+        return "/v1/completions" if is_text else "/v1/chat/completions"
+
+    def body(self) -> dict[str, Any]:
+        """Return the JSON body: the emitted text goes on as part of the prompt."""
+        body: dict[str, Any] = {
+            **self.sampling,
+            "model": self.model,
+            "max_tokens": self.max_tokens - self.position,
+            "stream": True,
+            "request_id": self.request_id,
+        }
+        if self.kv_handle:
+            body["kv_handle"] = self.kv_handle
+        if isinstance(self.prompt, str):
+            return {**body, "prompt": self.prompt + self.emitted}
+        messages = list(self.prompt)
+        if self.position:
+            messages.append({"role": "assistant", "content": self.emitted})
+            body["continue_final_message"] = True
+            body["add_generation_prompt"] = False
+        return {**body, "messages": messages}
+
+
+class KvHandle(msgspec.Struct, frozen=True):
+    """Names exported KV cache and the tokens that it covers."""
+
+    handle: str
+    tokens: int
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    delta: dict[str, Any] = msgspec.field(default_factory=dict)
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = msgspec.field(default_factory=list)
+    sequence: int | None = None
+
+
+_event_decoder = msgspec.json.Decoder(_Event)
+
+
+class EngineClient:
+    """Calls model engines through one HTTP session."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        """Use ``session`` for every call."""
+        self._session = session
+
+    async def stream(self, url: str, request: EngineRequest) -> AsyncIterator[Chunk]:
+        """Yield the chunks of one attempt; raise AttemptFailed if it breaks off."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
+        )
+        try:
+            async with self._session.post(
+                f"{url}{request.path}", json=request.body(), timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    text = (await response.text())[:200]
+                    raise AttemptFailed(
+                        AttemptFailure.ENDPOINT_ERROR, text, response.status
+                    )
+                async for chunk in _chunks(response.content, request):
+                    yield chunk
+        except aiohttp.ClientConnectorError as error:
+            raise AttemptFailed(AttemptFailure.NOT_CONNECTED, str(error)) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise AttemptFailed(AttemptFailure.NOT_CONNECTED, str(error)) from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            message = str(error) or type(error).__name__
+            raise AttemptFailed(AttemptFailure.CONNECTION_LOST, message) from error
+
+    async def cancel(self, url: str, request_id: str) -> None:
+        """Stop a request; an engine that does not answer is left alone."""
+        await self._post(f"{url}/v1/requests/{request_id}/cancel", {})
+
+    async def load(self, url: str) -> Result[int, str]:
+        """Return how many requests an engine last reported, running and waiting."""
+        try:
+            async with (
+                asyncio.timeout(REPORT_TIMEOUT_SECONDS),
+                self._session.get(f"{url}/load") as response,
+            ):
+                body = await response.json()
+                return Ok(int(body["running"]) + int(body["waiting"]))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as e:
+            return Err(str(e) or type(e).__name__)
+
+    async def move_kv(
+        self, source: str, target: str, request_id: str
+    ) -> Result[KvHandle, str]:
+        """Export a request's KV cache at ``source`` and import it at ``target``."""
+        exported = await self._post(f"{source}/kv/export", {"request_id": request_id})
+        if isinstance(exported, Err):
+            return exported
+        return await self._post(
+            f"{target}/kv/import",
+            {"source": source, "handle": exported.ok_value.handle},
+        )
+
+    async def _post(self, url: str, body: dict[str, Any]) -> Result[KvHandle, str]:
+        try:
+            async with (
+                asyncio.timeout(REPORT_TIMEOUT_SECONDS),
+                self._session.post(url, json=body) as response,
+            ):
+                content = await response.read()
+                if response.status != 200:
+                    return Err(f"status {response.status}")
+                return Ok(msgspec.json.decode(content, type=KvHandle))
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+            return Err(str(e) or type(e).__name__)
+
+
+async def _chunks(
+    content: aiohttp.StreamReader, request: EngineRequest
+) -> AsyncIterator[Chunk]:
+    """Decode an engine's SSE events; raise if they stop before ``[DONE]``."""
+    position = request.position
+    async for line in content:
+        if not line.startswith(b"data:"):
+            continue
+        data = line[5:].strip()
+        if data == b"[DONE]":
+            return
+        event = _event_decoder.decode(data)
+        for choice in event.choices:
+            text = choice.text or choice.delta.get("content") or ""
+            end = StreamEnd(choice.finish_reason) if choice.finish_reason else None
+            if event.sequence is not None:
+                position = request.position + event.sequence
+            if text or end:
+                yield Chunk(request.attempt, position, text, end)
+                position += 1
+    raise AttemptFailed(AttemptFailure.CONNECTION_LOST, "the stream ended early")
--- /dev/null
+++ b/src/amaranthhollow/gateway/__init__.py
@@ -0,0 +1,5 @@
+"""HTTP interface to callers."""
+
+from __future__ import annotations
+
+__all__: list[str] = []
--- /dev/null
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -0,0 +1,223 @@
+"""Produces one answer of a model, over as many attempts as it takes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from amaranthhollow.decisions.recovery import (
+    LetFinish,
+    MoveCache,
+    RunningStream,
+    plan_departure,
+)
+from amaranthhollow.decisions.retries import AttemptFailure, Outcome
+from amaranthhollow.decisions.routing import prefix_key
+from amaranthhollow.endpoints.engine import AttemptFailed, EngineRequest
+from amaranthhollow.gateway.problems import Problem
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.decisions.endpoints import Endpoint
+    from amaranthhollow.gateway.live_streams import LiveStream
+    from amaranthhollow.gateway.requests import ModelRequest
+
+__all__ = ["ModelCall"]
+
+FIRST_TOKEN_STALL_SECONDS = 10.0
+TOKEN_STALL_SECONDS = 2.0
+SUPERVISE_SECONDS = 0.1
+ENDPOINT_WAIT_SECONDS = 0.05
+ASSUMED_TOKEN_SECONDS = 0.033
+
+
+class ModelCall:
+    """Runs the attempts of one request and feeds a live stream with tokens."""
+
+    def __init__(
+        self,
+        node: Node,
+        request: ModelRequest,
+        request_id: str,
+        deployment: str,
+        stream: LiveStream,
+        deadline: float,
+    ) -> None:
+        """Produce the answer to ``request`` into ``stream`` until ``deadline``."""
+        self._node = node
+        self._request = request
+        self._request_id = request_id
+        self._deployment = deployment
+        self._stream = stream
+        self._deadline = deadline
+        self._tried: set[str] = set()
+        self._kv_target: Endpoint | None = None
+        self._kv_handle = ""
+
+    async def run(self) -> None:
+        """Produce the answer; the stream ends with it or with a problem."""
+        try:
+            async with asyncio.timeout(self._deadline - self._node.now()):
+                problem = await self._run_attempts()
+        except TimeoutError:
+            problem = self._problem(504, "deadline-passed", "The deadline passed.")
+        self._stream.end(problem)
+
+    async def _run_attempts(self) -> Problem | None:
+        while not self._stream.assembler.is_complete:
+            endpoint = await self._choose()
+            if endpoint is None:
+                detail = f"No endpoint of {self._deployment!r} takes requests now."
+                return self._problem(503, "no-endpoint", detail)
+            self._tried.add(endpoint.host)
+            try:
+                await self._attempt(endpoint)
+            except AttemptFailed as error:
+                problem = self._after_failure(endpoint, error)
+                if problem is not None:
+                    return problem
+        return None
+
+    async def _choose(self) -> Endpoint | None:
+        """Choose an endpoint; an answer already begun waits for one to be usable."""
+        target, self._kv_target = self._kv_target, None
+        if target is not None:
+            return target
+        node = self._node
+        key = prefix_key(self._deployment, self._request.prompt_text)
+        while True:
+            usable = node.endpoints.usable(self._deployment, node.now())
+            endpoint = node.router.choose(usable, key, self._tried)
+            if endpoint is not None or not self._stream.assembler.position:
+                return endpoint
+            await asyncio.sleep(ENDPOINT_WAIT_SECONDS)
+
+    async def _attempt(self, endpoint: Endpoint) -> None:
+        """Run one attempt, until it ends or the stream has to move."""
+        node = self._node
+        assembler = self._stream.assembler
+        request = EngineRequest(
+            request_id=f"{self._request_id}-{assembler.attempt + 1}",
+            model=self._request.model,
+            prompt=self._request.prompt,
+            max_tokens=self._request.max_tokens,
+            attempt=assembler.begin_attempt(),
+            sampling=self._request.sampling,
+            emitted=assembler.text,
+            position=assembler.position,
+            kv_handle=self._kv_handle,
+        )
+        self._kv_handle = ""
+        node.router.started(endpoint.host)
+        pump = asyncio.create_task(self._pump(endpoint, request))
+        try:
+            await self._supervise(endpoint, request, pump)
+        finally:
+            node.router.ended(endpoint.host)
+            pump.cancel()
+
+    async def _pump(self, endpoint: Endpoint, request: EngineRequest) -> None:
+        async for chunk in self._node.engines.stream(endpoint.url, request):
+            self._stream.accept(chunk)
+
+    async def _supervise(
+        self, endpoint: Endpoint, request: EngineRequest, pump: asyncio.Task[None]
+    ) -> None:
+        """Wait for the attempt; notice a stall, and that the endpoint is leaving."""
+        node = self._node
+        assembler = self._stream.assembler
+        started_at = progress_at = node.now()
+        position = assembler.position
+        while True:
+            done, _ = await asyncio.wait({pump}, timeout=SUPERVISE_SECONDS)
+            if done:
+                pump.result()
+                self._finish(endpoint)
+                return
+            now = node.now()
+            if assembler.position > position:
+                position, progress_at = assembler.position, now
+            is_first = position == request.position
+            limit = FIRST_TOKEN_STALL_SECONDS if is_first else TOKEN_STALL_SECONDS
+            if now - progress_at > limit:
+                raise AttemptFailed(AttemptFailure.TIMED_OUT, "the stream stalled")
+            if await self._is_moved(endpoint, request, now - started_at):
+                return
+
+    def _finish(self, endpoint: Endpoint) -> None:
+        self._node.endpoints.succeeded(endpoint.host)
+        if not self._stream.assembler.is_complete:
+            raise AttemptFailed(AttemptFailure.CONNECTION_LOST, "no finish reason")
+
+    async def _is_moved(
+        self, endpoint: Endpoint, request: EngineRequest, elapsed: float
+    ) -> bool:
+        """Move the stream if its endpoint is leaving and it cannot finish there."""
+        node = self._node
+        current = node.endpoints.get(endpoint.host)
+        if current is None or current.state in ("live", "suspected"):
+            return False
+        assembler = self._stream.assembler
+        produced = assembler.position - request.position
+        running = RunningStream(
+            context_tokens=self._stream.prompt_tokens + assembler.position,
+            tokens_left=self._request.max_tokens - assembler.position,
+            token_seconds=elapsed / produced if produced else ASSUMED_TOKEN_SECONDS,
+        )
+        match plan_departure(running, current.listed.leaves_at, node.now()):
+            case LetFinish():
+                return False
+            case MoveCache():
+                await self._move_cache(endpoint, request)
+        node.counters.increment("streams.moved")
+        return True
+
+    async def _move_cache(self, source: Endpoint, request: EngineRequest) -> None:
+        node = self._node
+        usable = node.endpoints.usable(self._deployment, node.now())
+        key = prefix_key(self._deployment, self._request.prompt_text)
+        target = node.router.choose(usable, key, self._tried)
+        if target is None:
+            return
+        moved = await node.engines.move_kv(source.url, target.url, request.request_id)
+        if isinstance(moved, Err):
+            node.counters.increment("streams.kv_move_failed")
+            return
+        node.counters.increment("streams.kv_moved")
+        self._kv_target, self._kv_handle = target, moved.ok_value.handle
+
+    def _after_failure(
+        self, endpoint: Endpoint, error: AttemptFailed
+    ) -> Problem | None:
+        """Return the problem to end with, or None to try again elsewhere."""
+        node = self._node
+        if 400 <= error.status < 500 and error.status not in (408, 429):
+            detail = f"The endpoint refused the request: {error}"
+            return Problem(
+                status=error.status,
+                kind="refused-by-endpoint",
+                title="The endpoint refused the request",
+                detail=detail,
+                outcome=Outcome.FAILED,
+            )
+        node.endpoints.failed(endpoint.host, node.now())
+        node.counters.increment(f"attempts.{error.failure.name.lower()}")
+        current = node.endpoints.get(endpoint.host)
+        is_reclaimed = current is None or current.state in ("leaving", "gone")
+        if is_reclaimed or node.may_retry():
+            return None
+        return self._problem(503, "retries-exhausted", f"The attempt failed: {error}.")
+
+    def _problem(self, status: int, kind: str, detail: str) -> Problem:
+        """Describe why the answer is not complete; nothing sent means not run."""
+        is_unsent = self._stream.assembler.attempt == 0
+        return Problem(
+            status=status,
+            kind=kind,
+            title="The request was not answered",
+            detail=detail,
+            outcome=Outcome.NOT_RUN if is_unsent else Outcome.FAILED,
+            retry_after_seconds=self._node.retry_after_seconds(1.0),
+        )
--- /dev/null
+++ b/src/amaranthhollow/gateway/model_resource.py
@@ -0,0 +1,290 @@
+"""OpenAI-compatible completions, whole and streamed."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+from uuid import uuid4
+
+import msgspec
+from falcon.asgi import SSEvent
+
+from amaranthhollow.decisions.claim_records import digest
+from amaranthhollow.decisions.limits import Refuse
+from amaranthhollow.decisions.retries import Outcome
+from amaranthhollow.gateway.live_streams import LiveStream
+from amaranthhollow.gateway.model_calls import ModelCall
+from amaranthhollow.gateway.problems import Problem, ProblemError, invalid
+from amaranthhollow.gateway.requests import (
+    idempotency_key,
+    parse_model_request,
+    read_body,
+    request_deadline,
+    workspace_of,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import falcon.asgi
+
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.decisions.streams import Emitted
+    from amaranthhollow.gateway.live_streams import StreamRegistry
+    from amaranthhollow.gateway.requests import ModelRequest
+    from amaranthhollow.gateway.stream_lookup import StreamLookup
+
+__all__ = ["CompletionResource", "ModelListResource", "admit"]
+
+LAST_EVENT_HEADER = "Last-Event-ID"
+
+
+def admit(node: Node, workspace: str) -> None:
+    """Count a request against its workspace's budget, or refuse it at once."""
+    rate = node.configuration.workspaces[workspace].requests_per_second
+    share = rate / max(1, len(node.membership.active_hosts))
+    decision = node.limiter.admit(workspace, share, node.now())
+    if isinstance(decision, Refuse):
+        node.counters.increment("requests.refused_by_limit")
+        delay = decision.retry_at - node.now()
+        raise ProblemError(
+            Problem(
+                status=429,
+                kind="over-budget",
+                title="The workspace is over its budget",
+                detail=f"The workspace {workspace!r} sends more than its rate.",
+                outcome=Outcome.NOT_RUN,
+                retry_after_seconds=node.retry_after_seconds(delay),
+            )
+        )
+    node.counters.increment("requests.admitted")
+    node.retry_budget = node.retry_budget.earned()
+
+
+@dataclass(frozen=True)
+class _Answer:
+    """What the chunks of one answer have in common."""
+
+    answer_id: str
+    created: int
+    request: ModelRequest
+
+    def chunk(self, choices: list[dict[str, Any]]) -> dict[str, Any]:
+        kind = "chat.completion.chunk" if self.request.is_chat else "text_completion"
+        return {
+            "id": self.answer_id,
+            "object": kind,
+            "created": self.created,
+            "model": self.request.model,
+            "choices": choices,
+        }
+
+    def event(self, event: Emitted) -> dict[str, Any]:
+        """Return one token as a chunk."""
+        finish_reason = event.end.value if event.end else None
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+        if self.request.is_chat:
+            choice["delta"] = {"content": event.text}
+            if event.event_id == 1:
+                choice["delta"]["role"] = "assistant"
+        else:
+            choice["text"] = event.text
+        return self.chunk([choice])
+
+    def whole(self, stream: LiveStream) -> dict[str, Any]:
+        """Return the complete answer as one document."""
+        text = stream.assembler.text
+        finish_reason = stream.assembler.emitted[-1].end.value
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+        if self.request.is_chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        document = self.chunk([choice])
+        if self.request.is_chat:
+            document["object"] = "chat.completion"
+        return {**document, "usage": _usage(stream)}
+
+
+class CompletionResource:
+    """``POST /v1/completions`` and ``POST /v1/chat/completions``."""
+
+    def __init__(
+        self,
+        node: Node,
+        streams: StreamRegistry,
+        lookup: StreamLookup,
+        *,
+        is_chat: bool,
+    ) -> None:
+        """Serve chats if ``is_chat``, else plain prompts."""
+        self._node = node
+        self._streams = streams
+        self._lookup = lookup
+        self._is_chat = is_chat
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def on_post(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        """Answer a request for a completion."""
+        node = self._node
+        configuration = node.configuration
+        workspace = workspace_of(request, configuration)
+        body = await read_body(request, configuration.requests)
+        deadline = request_deadline(request, configuration.requests, node.now())
+        parsed = parse_model_request(
+            body, configuration.requests, is_chat=self._is_chat
+        )
+        deployment = configuration.deployment_of_model(parsed.model)
+        if deployment is None:
+            detail = f"The model {parsed.model!r} does not exist."
+            raise invalid("model", detail, status=404)
+        key = idempotency_key(request)
+        after_id = _last_event_id(request)
+        key_digest = digest(workspace, deployment, key) if key else None
+        stream = await self._rejoin(key_digest, after_id)
+        if stream is None:
+            admit(node, workspace)
+            stream = self._begin(parsed, deployment, deadline, key_digest, None)
+        elif not stream.is_ended and stream.problem is None and _is_orphan(stream):
+            stream = self._begin(parsed, deployment, deadline, key_digest, stream)
+        await stream.wait_until(after_id)
+        if stream.problem is not None and stream.assembler.position <= after_id:
+            raise ProblemError(stream.problem)
+        answer = _Answer(_answer_id(self._is_chat), int(node.now()), parsed)
+        if parsed.is_streamed:
+            response.set_header("Cache-Control", "no-cache")
+            response.sse = _events(answer, stream, after_id)
+        else:
+            await self._render_whole(response, answer, stream)
+
+    async def _rejoin(
+        self, key_digest: bytes | None, after_id: int
+    ) -> LiveStream | None:
+        """Find the stream that a repeated key belongs to, here or at a peer."""
+        if key_digest is None:
+            return None
+        stream = self._streams.get(key_digest)
+        if stream is None and after_id:
+            stream = await self._lookup.find(key_digest)
+        if stream is not None and stream.problem is not None:
+            return None
+        return stream
+
+    def _begin(
+        self,
+        parsed: ModelRequest,
+        deployment: str,
+        deadline: float,
+        key_digest: bytes | None,
+        orphan: LiveStream | None,
+    ) -> LiveStream:
+        """Start producing an answer, or the rest of one that lost its daemon."""
+        prompt_tokens = len(parsed.prompt_text.split())
+        stream = orphan or LiveStream(prompt_tokens)
+        stream.has_producer = True
+        if key_digest is not None:
+            self._streams.put(key_digest, stream)
+        call = ModelCall(self._node, parsed, uuid4().hex, deployment, stream, deadline)
+        task = asyncio.create_task(self._produce(call, stream, key_digest is not None))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return stream
+
+    async def _produce(
+        self, call: ModelCall, stream: LiveStream, is_rejoinable: bool
+    ) -> None:
+        """Produce until the end; without a key, only while the caller listens."""
+        node = self._node
+        production = asyncio.create_task(call.run())
+        if not is_rejoinable:
+            stream.on_abandoned = production.cancel
+        try:
+            await production
+        except asyncio.CancelledError:
+            node.counters.increment("streams.abandoned")
+            stream.end()
+        else:
+            ending = "failed" if stream.problem else "answered"
+            node.counters.increment(f"requests.{ending}")
+
+    async def _render_whole(
+        self, response: falcon.asgi.Response, answer: _Answer, stream: LiveStream
+    ) -> None:
+        async for _ in stream.follow(0):
+            pass
+        if stream.problem is not None:
+            raise ProblemError(stream.problem)
+        response.content_type = "application/json"
+        response.data = msgspec.json.encode(answer.whole(stream))
+
+
+class ModelListResource:
+    """``GET /v1/models``."""
+
+    def __init__(self, node: Node) -> None:
+        """List the models of the configuration in force."""
+        self._node = node
+
+    async def on_get(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        """Answer with the models."""
+        configuration = self._node.configuration
+        workspace_of(request, configuration)
+        models = [
+            {"id": deployment.model, "object": "model", "created": 0, "owned_by": name}
+            for name, deployment in configuration.deployments.items()
+            if deployment.kind == "model"
+        ]
+        response.content_type = "application/json"
+        response.data = msgspec.json.encode({"object": "list", "data": models})
+
+
+async def _events(
+    answer: _Answer, stream: LiveStream, after_id: int
+) -> AsyncIterator[SSEvent]:
+    """Yield the stream as server-sent events, each with an id."""
+    last_id = after_id
+    async for event in stream.follow(after_id):
+        last_id = event.event_id
+        data = msgspec.json.encode(answer.event(event))
+        yield SSEvent(data=data, event_id=str(last_id))
+    if stream.problem is not None:
+        document = {"error": stream.problem.document()}
+        yield SSEvent(data=msgspec.json.encode(document), event_id=str(last_id))
+        return
+    if answer.request.includes_usage:
+        last_id += 1
+        document = {**answer.chunk([]), "usage": _usage(stream)}
+        yield SSEvent(data=msgspec.json.encode(document), event_id=str(last_id))
+    yield SSEvent(data=b"[DONE]", event_id=str(last_id + 1))
+
+
+def _usage(stream: LiveStream) -> dict[str, int]:
+    completion_tokens = stream.assembler.position
+    return {
+        "prompt_tokens": stream.prompt_tokens,
+        "completion_tokens": completion_tokens,
+        "total_tokens": stream.prompt_tokens + completion_tokens,
+    }
+
+
+def _is_orphan(stream: LiveStream) -> bool:
+    return not stream.has_producer
+
+
+def _answer_id(is_chat: bool) -> str:
+    return f"{'chatcmpl' if is_chat else 'cmpl'}-{uuid4().hex}"
+
+
+def _last_event_id(request: falcon.asgi.Request) -> int:
+    text = request.get_header(LAST_EVENT_HEADER)
+    if text is None:
+        return 0
+    if not text.isdecimal() or len(text) > 9:
+        detail = f"{LAST_EVENT_HEADER} must be the id of an event."
+        raise invalid(LAST_EVENT_HEADER, detail)
+    return int(text)
--- /dev/null
+++ b/src/amaranthhollow/gateway/problems.py
@@ -0,0 +1,79 @@
+"""Problem documents (RFC 9457): what callers are told when there is no answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from amaranthhollow.decisions.retries import Outcome
+
+if TYPE_CHECKING:
+    import falcon.asgi
+
+__all__ = ["Problem", "ProblemError", "invalid", "render"]
+
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:amaranthhollow:problem:"
+
+
+@dataclass(frozen=True)
+class Problem:
+    """Why a request was not answered, and what became of it.
+
+    ``kind`` is the last part of the problem's type URI. ``retry_after_seconds``
+    is set wherever coming back makes sense.
+    """
+
+    status: int
+    kind: str
+    title: str
+    detail: str
+    outcome: Outcome
+    field: str | None = None
+    retry_after_seconds: int | None = None
+
+    def document(self) -> dict[str, str | int]:
+        """Return the members of the problem document."""
+        members: dict[str, str | int] = {
+            "type": TYPE_PREFIX + self.kind,
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            "outcome": self.outcome.value,
+        }
+        if self.field is not None:
+            members["field"] = self.field
+        return members
+
+
+class ProblemError(Exception):
+    """Ends the handling of a request with a problem."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+def invalid(field: str, detail: str, status: int = 400) -> ProblemError:
+    """Return the error for a request that is wrong in ``field``."""
+    return ProblemError(
+        Problem(
+            status=status,
+            kind="invalid-request",
+            title="The request is not valid",
+            detail=detail,
+            outcome=Outcome.NOT_RUN,
+            field=field,
+        )
+    )
+
+
+def render(response: falcon.asgi.Response, problem: Problem) -> None:
+    """Write ``problem`` to an HTTP response."""
+    response.status = problem.status
+    response.content_type = CONTENT_TYPE
+    response.data = msgspec.json.encode(problem.document())
+    if problem.retry_after_seconds is not None:
+        response.set_header("Retry-After", str(problem.retry_after_seconds))
--- /dev/null
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -0,0 +1,222 @@
+"""Passes calls on to plain services; non-idempotent ones run at most once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from amaranthhollow.decisions.claim_messages import (
+    GrantClaim,
+    RefusalReason,
+    RefuseClaim,
+    ReplayAnswer,
+)
+from amaranthhollow.decisions.claim_records import (
+    Answer,
+    ClaimRecord,
+    ClaimState,
+    digest,
+)
+from amaranthhollow.decisions.retries import AttemptFailure, Outcome
+from amaranthhollow.endpoints.service import ServiceAnswer
+from amaranthhollow.gateway.problems import Problem, ProblemError
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.endpoints.service import ServiceCall
+
+__all__ = ["ServiceRequest", "call_idempotent", "call_once"]
+
+MAX_ATTEMPTS = 3
+
+
+@dataclass(frozen=True)
+class ServiceRequest:
+    """A call on a service on behalf of a workspace."""
+
+    workspace: str
+    deployment: str
+    call: ServiceCall
+    idempotency_key: str | None
+
+
+async def call_idempotent(node: Node, request: ServiceRequest) -> ServiceAnswer:
+    """Call a service, trying other endpoints as far as the retry budget goes."""
+    failure = AttemptFailure.NOT_CONNECTED
+    tried: set[str] = set()
+    has_run = False
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt and not node.may_retry():
+            break
+        result = await _attempt(node, request, tried)
+        if result is None:
+            break
+        if isinstance(result, Ok):
+            return result.ok_value
+        failure = result.err_value
+        has_run = has_run or failure is not AttemptFailure.NOT_CONNECTED
+        if failure is AttemptFailure.TIMED_OUT:
+            break
+    outcome = Outcome.FAILED if has_run else Outcome.NOT_RUN
+    raise ProblemError(_unanswered(node, request, failure, outcome))
+
+
+async def call_once(node: Node, request: ServiceRequest) -> ServiceAnswer:
+    """Call a service at most once for the request's idempotency key."""
+    record = _claim_record(node, request)
+    result = await node.claims.claim(record, request.call.deadline)
+    match result:
+        case GrantClaim():
+            return await _run_claimed(node, request, record)
+        case ReplayAnswer(_, original):
+            node.counters.increment("claims.replayed")
+            return await _replay(node, original)
+        case RefuseClaim(_, reason):
+            node.counters.increment(f"claims.refused.{reason.name.lower()}")
+            raise ProblemError(_refusal(node, reason))
+
+
+async def _run_claimed(
+    node: Node, request: ServiceRequest, record: ClaimRecord
+) -> ServiceAnswer:
+    """Send a claimed call; try another endpoint only if no byte was sent."""
+    failure = AttemptFailure.NOT_CONNECTED
+    tried: set[str] = set()
+    state = ClaimState.UNKNOWN
+    answer: Answer | None = None
+    try:
+        for _ in range(MAX_ATTEMPTS):
+            if node.now() >= request.call.deadline:
+                state = ClaimState.NOT_RUN
+                break
+            result = await _attempt(node, request, tried)
+            if result is None:
+                state = ClaimState.NOT_RUN
+                break
+            if isinstance(result, Ok):
+                reply = result.ok_value
+                state = ClaimState.ANSWERED
+                answer = Answer(reply.status, reply.content_type, reply.body)
+                return reply
+            failure = result.err_value
+            if failure is not AttemptFailure.NOT_CONNECTED:
+                break
+        else:
+            state = ClaimState.NOT_RUN
+    finally:
+        node.claims.report(record, state, answer)
+        node.counters.increment(f"claims.{state.name.lower()}")
+    is_not_run = state is ClaimState.NOT_RUN
+    outcome = Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
+    raise ProblemError(_unanswered(node, request, failure, outcome))
+
+
+async def _attempt(
+    node: Node, request: ServiceRequest, tried: set[str]
+) -> Result[ServiceAnswer, AttemptFailure] | None:
+    """Call one endpoint not tried before; None if there is none."""
+    usable = node.endpoints.usable(request.deployment, node.now())
+    fresh = [endpoint for endpoint in usable if endpoint.host not in tried]
+    key = f"{request.workspace}\0{request.call.path}"
+    endpoint = node.router.choose(fresh, key)
+    if endpoint is None:
+        return None
+    tried.add(endpoint.host)
+    node.router.started(endpoint.host)
+    try:
+        result = await node.services.call(endpoint.url, request.call, node.now())
+    finally:
+        node.router.ended(endpoint.host)
+    if isinstance(result, Err):
+        node.counters.increment(f"attempts.{result.err_value.name.lower()}")
+        node.endpoints.failed(endpoint.host, node.now())
+    else:
+        node.endpoints.succeeded(endpoint.host)
+    return result
+
+
+def _claim_record(node: Node, request: ServiceRequest) -> ClaimRecord:
+    call = request.call
+    key = request.idempotency_key or ""
+    retention = node.configuration.claim_retention_seconds
+    return ClaimRecord(
+        key_digest=digest(request.workspace, request.deployment, key),
+        request_digest=digest(call.method, call.path, call.query, call.body),
+        claim_id=node.next_claim_id(),
+        expires_at=node.now() + retention,
+    )
+
+
+async def _replay(node: Node, original: ClaimRecord) -> ServiceAnswer:
+    recorded = await node.claims.recorded_answer(original)
+    if isinstance(recorded, Err):
+        raise ProblemError(
+            Problem(
+                status=503,
+                kind="answer-unavailable",
+                title="The recorded answer cannot be read",
+                detail=f"The request ran before, but {recorded.err_value}.",
+                outcome=Outcome.UNKNOWN,
+                retry_after_seconds=node.retry_after_seconds(1.0),
+            )
+        )
+    answer = recorded.ok_value
+    return ServiceAnswer(answer.status, answer.content_type, answer.body)
+
+
+def _refusal(node: Node, reason: RefusalReason) -> Problem:
+    match reason:
+        case RefusalReason.SERVICE_UNAVAILABLE:
+            return Problem(
+                status=503,
+                kind="claim-unavailable",
+                title="The request cannot be claimed now",
+                detail="The key-value service does not answer; nothing was sent.",
+                outcome=Outcome.NOT_RUN,
+                retry_after_seconds=node.retry_after_seconds(2.0),
+            )
+        case RefusalReason.IN_PROGRESS:
+            return Problem(
+                status=409,
+                kind="in-progress",
+                title="The request was claimed before",
+                detail="A request with this Idempotency-Key has no outcome yet.",
+                outcome=Outcome.UNKNOWN,
+                retry_after_seconds=node.retry_after_seconds(1.0),
+            )
+        case RefusalReason.OUTCOME_UNKNOWN:
+            return Problem(
+                status=409,
+                kind="outcome-unknown",
+                title="The outcome is not known",
+                detail="A request with this Idempotency-Key was sent; its answer was "
+                "lost. It will not be sent again.",
+                outcome=Outcome.UNKNOWN,
+            )
+        case RefusalReason.REQUEST_DIFFERS:
+            return Problem(
+                status=422,
+                kind="key-reused",
+                title="The Idempotency-Key belongs to another request",
+                detail="This Idempotency-Key was used with another method, path or "
+                "body.",
+                outcome=Outcome.NOT_RUN,
+                field="Idempotency-Key",
+            )
+
+
+def _unanswered(
+    node: Node, request: ServiceRequest, failure: AttemptFailure, outcome: Outcome
+) -> Problem:
+    return Problem(
+        status=504 if failure is AttemptFailure.TIMED_OUT else 503,
+        kind="unanswered",
+        title="The service did not answer",
+        detail=f"The service {request.deployment!r} did not answer: {failure.value}.",
+        outcome=outcome,
+        retry_after_seconds=(
+            None if outcome is Outcome.UNKNOWN else node.retry_after_seconds(1.0)
+        ),
+    )
--- /dev/null
+++ b/src/amaranthhollow/gateway/service_resource.py
@@ -0,0 +1,102 @@
+"""Plain services: any method, path, query and body under ``/services``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from amaranthhollow.configuration.model import ServiceDeployment
+from amaranthhollow.endpoints.service import ServiceCall
+from amaranthhollow.gateway.model_resource import admit
+from amaranthhollow.gateway.problems import invalid
+from amaranthhollow.gateway.requests import (
+    idempotency_key,
+    read_body,
+    request_deadline,
+    workspace_of,
+)
+from amaranthhollow.gateway.service_calls import (
+    ServiceRequest,
+    call_idempotent,
+    call_once,
+)
+
+if TYPE_CHECKING:
+    import falcon.asgi
+
+    from amaranthhollow.daemon.node import Node
+
+__all__ = ["PREFIX", "ServiceSink"]
+
+PREFIX = "/services/"
+FORWARDED_HEADERS = ("Accept", "Accept-Language", "Content-Type", "User-Agent")
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+
+
+class ServiceSink:
+    """Handles ``/services/<service>/...``."""
+
+    def __init__(self, node: Node) -> None:
+        """Route to the services of the configuration in force."""
+        self._node = node
+
+    async def __call__(
+        self,
+        request: falcon.asgi.Request,
+        response: falcon.asgi.Response,
+        **_: str,
+    ) -> None:
+        """Pass a call on to an endpoint of its service."""
+        node = self._node
+        configuration = node.configuration
+        workspace = workspace_of(request, configuration)
+        name, path = _split(request.path)
+        raw_path = request.scope.get("raw_path", request.path.encode()).decode(
+            "latin-1"
+        )
+        deployment = configuration.deployments.get(name)
+        if not isinstance(deployment, ServiceDeployment):
+            raise invalid("service", f"The service {name!r} does not exist.", 404)
+        if request.method not in METHODS:
+            detail = f"The method {request.method!r} is not passed on."
+            raise invalid("method", detail, 405)
+        body = await read_body(request, configuration.requests)
+        deadline = request_deadline(request, configuration.requests, node.now())
+        service_request = ServiceRequest(
+            workspace=workspace,
+            deployment=name,
+            call=ServiceCall(
+                method=request.method,
+                path=_split(raw_path)[1],
+                query=request.query_string,
+                headers=_headers(request, deadline),
+                body=body,
+                deadline=deadline,
+            ),
+            idempotency_key=idempotency_key(request),
+        )
+        is_once = deployment.is_non_idempotent(request.method, path)
+        if is_once and service_request.idempotency_key is None:
+            detail = f"{request.method} {path} needs an Idempotency-Key header."
+            raise invalid("Idempotency-Key", detail)
+        admit(node, workspace)
+        call = call_once if is_once else call_idempotent
+        answer = await call(node, service_request)
+        node.counters.increment("requests.answered")
+        response.status = answer.status
+        response.content_type = answer.content_type or None
+        response.data = answer.body
+
+
+def _split(path: str) -> tuple[str, str]:
+    """Split ``/services/filings/v1/x`` into ``filings`` and ``/v1/x``."""
+    name, _, rest = path.removeprefix(PREFIX).partition("/")
+    return name, f"/{rest}"
+
+
+def _headers(request: falcon.asgi.Request, deadline: float) -> dict[str, str]:
+    headers = {"X-Request-Deadline": f"{deadline:.3f}"}
+    for name in (*FORWARDED_HEADERS, "Idempotency-Key"):
+        value = request.get_header(name)
+        if value is not None:
+            headers[name] = value
+    return headers
--- /dev/null
+++ b/src/amaranthhollow/peers/server.py
@@ -0,0 +1,75 @@
+"""Serves the peer interface to other daemons."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import capnp
+import msgspec
+
+from amaranthhollow.decisions.gossip import GossipMessage
+from amaranthhollow.peers.schema import PeerInterface
+from amaranthhollow.peers.stream_tails import StreamTail, read_tail, tail_fields
+
+if TYPE_CHECKING:
+    from typing import Protocol
+
+    class PeerHandler(Protocol):
+        """What a daemon does with the calls of its peers."""
+
+        def exchange(self, message: GossipMessage) -> GossipMessage:
+            """Take in a gossip message and return the reply."""
+
+        def configuration_body(self, change_id: str) -> bytes | None:
+            """Return a configuration body, if it is held here."""
+
+        def stream_tail(self, key_digest: bytes, after_id: int) -> StreamTail | None:
+            """Return the events of a stream after ``after_id``."""
+
+        def adopt_stream(self, key_digest: bytes, tail: StreamTail) -> None:
+            """Keep the emitted part of a stream for a caller who reconnects."""
+
+
+__all__ = ["serve_peers"]
+
+_decoder = msgspec.msgpack.Decoder(GossipMessage)
+
+
+class _PeerServer(PeerInterface.Server):
+    """Translates the schema's calls to the handler's."""
+
+    def __init__(self, handler: PeerHandler) -> None:
+        self._handler = handler
+
+    async def exchange(self, message: Any, _context: Any, **_: Any) -> bytes:
+        reply = self._handler.exchange(_decoder.decode(bytes(message)))
+        return msgspec.msgpack.encode(reply)
+
+    async def fetchConfiguration_context(self, context: Any) -> None:  # noqa: N802
+        change_id = context.params.changeId
+        content = self._handler.configuration_body(change_id)
+        if content is not None:
+            context.results.body = {
+                "found": True,
+                "changeId": change_id,
+                "content": content,
+            }
+
+    async def streamTail_context(self, context: Any) -> None:  # noqa: N802
+        params = context.params
+        tail = self._handler.stream_tail(bytes(params.keyDigest), params.afterId)
+        context.results.tail = tail_fields(tail)
+
+    async def adoptStream_context(self, context: Any) -> None:  # noqa: N802
+        params = context.params
+        self._handler.adopt_stream(bytes(params.keyDigest), read_tail(params.tail))
+
+
+async def serve_peers(handler: PeerHandler, address: str, port: int) -> Any:
+    """Listen for peers; bytes that are no Cap'n Proto end their connection only."""
+
+    async def serve_connection(stream: Any) -> None:
+        server = capnp.TwoPartyServer(stream, bootstrap=_PeerServer(handler))
+        await server.on_disconnect()
+
+    return await capnp.AsyncIoStream.create_server(serve_connection, address, port)
--- /dev/null
+++ b/src/amaranthhollow/peers/stream_tails.py
@@ -0,0 +1,50 @@
+"""Stream tails as daemons pass them to each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from amaranthhollow.decisions.streams import Emitted, StreamEnd
+
+__all__ = ["StreamTail", "read_tail", "tail_fields"]
+
+
+@dataclass(frozen=True)
+class StreamTail:
+    """Events of a stream from some id on, and whether more are being produced."""
+
+    prompt_tokens: int
+    is_produced: bool
+    events: list[Emitted]
+
+
+def read_tail(message: Any) -> StreamTail:
+    """Read a ``StreamTail`` of the schema."""
+    return StreamTail(
+        prompt_tokens=message.promptTokens,
+        is_produced=message.isProduced,
+        events=[
+            Emitted(event.id, event.text, StreamEnd(event.end) if event.end else None)
+            for event in message.events
+        ],
+    )
+
+
+def tail_fields(tail: StreamTail | None) -> dict[str, Any]:
+    """Return the fields of the schema's ``StreamTail``; None is not found."""
+    if tail is None:
+        return {"found": False}
+    return {
+        "found": True,
+        "promptTokens": tail.prompt_tokens,
+        "isProduced": tail.is_produced,
+        "events": [
+            {
+                "id": event.event_id,
+                "text": event.text,
+                "end": event.end.value if event.end else "",
+            }
+            for event in tail.events
+        ],
+    }
--- /dev/null
+++ b/src/amaranthhollow/platform/claim_store.py
@@ -0,0 +1,259 @@
+"""Carries out the claim decisions against the key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from amaranthhollow.decisions.claim_messages import (
+    Action,
+    ClaimRequested,
+    ClaimWithdrawn,
+    DeleteAnswer,
+    DeleteSegment,
+    Event,
+    GrantClaim,
+    HeadLoaded,
+    LoadHead,
+    LoadSegments,
+    OutcomeDurable,
+    OutcomeReported,
+    RefusalReason,
+    RefuseClaim,
+    ReplayAnswer,
+    RetryDue,
+    SegmentsLoaded,
+    SegmentWritten,
+    ServiceFailed,
+    WakeAt,
+    WriteConflicted,
+    WriteHead,
+    WriteSegment,
+    WriteSucceeded,
+    WriteUncertain,
+)
+from amaranthhollow.decisions.claim_records import (
+    Answer,
+    ClaimHead,
+    ClaimRecord,
+    ClaimState,
+    decode_head,
+    decode_segment,
+    encode_head,
+    encode_segment,
+    shard_of,
+)
+from amaranthhollow.decisions.claims import ShardState, step, unfinished_claims
+from amaranthhollow.platform.key_value import CallFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from amaranthhollow.platform.key_value import KeyValueClient, KeyValueError
+
+__all__ = ["ClaimResult", "ClaimStore"]
+
+CLAIM_TIMEOUT_SECONDS = 2.0
+MAX_INLINE_ANSWER_BYTES = 2048
+MAX_STORED_ANSWER_BYTES = 900_000
+FLUSH_POLL_SECONDS = 0.02
+PREFIX = "amaranthhollow/claims"
+
+ClaimResult = GrantClaim | RefuseClaim | ReplayAnswer
+
+
+class ClaimStore:
+    """Claims on idempotency keys, durable in the key-value service."""
+
+    def __init__(self, key_value: KeyValueClient, clock: Callable[[], float]) -> None:
+        """Use the service through ``key_value``; ``clock`` gives epoch seconds."""
+        self._key_value = key_value
+        self._clock = clock
+        self._states_by_shard: dict[int, ShardState] = {}
+        self._results_by_claim_id: dict[str, asyncio.Future[ClaimResult]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def unfinished(self) -> int:
+        """Claims and outcomes that the service does not hold yet."""
+        return unfinished_claims(self._states_by_shard.values()) + len(self._tasks)
+
+    def state(self, shard: int) -> ShardState:
+        """Return the state of a shard's writer, for the dump."""
+        return self._states_by_shard.get(shard, ShardState())
+
+    async def claim(self, record: ClaimRecord, deadline: float) -> ClaimResult:
+        """Claim a key; on GrantClaim, and only then, the request may be sent."""
+        future: asyncio.Future[ClaimResult]
+        future = asyncio.get_running_loop().create_future()
+        self._results_by_claim_id[record.claim_id] = future
+        shard = shard_of(record.key_digest)
+        self._apply(shard, ClaimRequested(record))
+        timeout = max(0.0, min(CLAIM_TIMEOUT_SECONDS, deadline - self._clock()))
+        try:
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError:
+            self._apply(shard, ClaimWithdrawn(record))
+            return RefuseClaim(record.claim_id, RefusalReason.SERVICE_UNAVAILABLE)
+        except asyncio.CancelledError:
+            self._apply(shard, ClaimWithdrawn(record))
+            raise
+        finally:
+            self._results_by_claim_id.pop(record.claim_id, None)
+
+    def report(
+        self, record: ClaimRecord, state: ClaimState, answer: Answer | None = None
+    ) -> None:
+        """Record the outcome of a granted claim in the background."""
+        self._start(self._report(record, state, answer))
+
+    async def recorded_answer(self, original: ClaimRecord) -> Result[Answer, str]:
+        """Return the answer of a claim, from its own value if it is large."""
+        answer = original.answer
+        if answer is None:
+            return Err("no answer was recorded")
+        if not answer.stored_separately:
+            return Ok(answer)
+        entry = await self._key_value.get(_answer_key(original.claim_id))
+        if isinstance(entry, Err):
+            return Err(entry.err_value.message)
+        if entry.ok_value.revision == 0:
+            return Err("the recorded answer has expired")
+        return Ok(msgspec.structs.replace(answer, body=entry.ok_value.value))
+
+    async def flush(self, deadline: float) -> bool:
+        """Wait until every outcome is durable; False if the deadline came first."""
+        while self.unfinished:
+            if self._clock() >= deadline:
+                return False
+            await asyncio.sleep(FLUSH_POLL_SECONDS)
+        return True
+
+    async def _report(
+        self, record: ClaimRecord, state: ClaimState, answer: Answer | None
+    ) -> None:
+        if answer is not None and len(answer.body) > MAX_INLINE_ANSWER_BYTES:
+            answer = await self._store_answer(record, answer)
+        self._apply(shard_of(record.key_digest), OutcomeReported(record, state, answer))
+
+    async def _store_answer(self, record: ClaimRecord, answer: Answer) -> Answer | None:
+        """Store a large answer apart; None if that cannot be done."""
+        if len(answer.body) > MAX_STORED_ANSWER_BYTES:
+            return None
+        key = _answer_key(record.claim_id)
+        stored = await self._key_value.put_if(key, answer.body, 0)
+        if isinstance(stored, Err):
+            return None
+        return msgspec.structs.replace(answer, body=b"", stored_separately=True)
+
+    def _apply(self, shard: int, event: Event) -> None:
+        result = step(self.state(shard), event, self._clock())
+        self._states_by_shard[shard] = result.state
+        for action in result.actions:
+            self._carry_out(shard, action)
+
+    def _carry_out(self, shard: int, action: Action) -> None:
+        match action:
+            case GrantClaim() | RefuseClaim() | ReplayAnswer():
+                future = self._results_by_claim_id.get(action.claim_id)
+                if future is not None and not future.done():
+                    future.set_result(action)
+            case OutcomeDurable():
+                pass
+            case WakeAt(at):
+                delay = max(0.0, at - self._clock())
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay, self._apply, shard, RetryDue())
+            case DeleteSegment(segment_id):
+                self._start(self._delete(_segment_key(shard, segment_id)))
+            case DeleteAnswer(claim_id):
+                self._start(self._delete(_answer_key(claim_id)))
+            case _:
+                self._start(self._call_service(shard, action))
+
+    async def _delete(self, key: str) -> None:
+        await self._key_value.delete(key)
+
+    async def _call_service(self, shard: int, action: Action) -> None:
+        match action:
+            case LoadHead():
+                event = await self._load_head(shard)
+            case LoadSegments(segment_ids):
+                event = await self._load_segments(shard, segment_ids)
+            case WriteSegment():
+                event = await self._write_segment(shard, action)
+            case WriteHead():
+                event = await self._write_head(shard, action)
+            case _:
+                raise TypeError(f"no service call for {action!r}")
+        self._apply(shard, event)
+
+    async def _load_head(self, shard: int) -> Event:
+        entry = await self._key_value.get(_head_key(shard))
+        if isinstance(entry, Err):
+            return ServiceFailed()
+        value = entry.ok_value.value
+        try:
+            head = decode_head(value) if value else ClaimHead()
+        except msgspec.MsgspecError:
+            return ServiceFailed()
+        return HeadLoaded(head, entry.ok_value.revision)
+
+    async def _load_segments(self, shard: int, segment_ids: tuple[str, ...]) -> Event:
+        segments = {}
+        for segment_id in segment_ids:
+            entry = await self._key_value.get(_segment_key(shard, segment_id))
+            if isinstance(entry, Err):
+                return ServiceFailed()
+            if entry.ok_value.revision:
+                segments[segment_id] = decode_segment(entry.ok_value.value)
+        return SegmentsLoaded(segments)
+
+    async def _write_segment(self, shard: int, action: WriteSegment) -> Event:
+        """Create a segment; one that exists has the same content."""
+        key = _segment_key(shard, action.segment_id)
+        value = encode_segment(action.segment)
+        written = await self._key_value.put_if(key, value, 0)
+        if isinstance(written, Err):
+            return ServiceFailed()
+        return SegmentWritten(action.segment_id)
+
+    async def _write_head(self, shard: int, action: WriteHead) -> Event:
+        value = encode_head(action.head)
+        written = await self._key_value.put_if(
+            _head_key(shard), value, action.expected_revision
+        )
+        match written:
+            case Ok(None):
+                return WriteConflicted()
+            case Ok(revision):
+                return WriteSucceeded(revision)
+            case Err(error):
+                return _failed_write(error)
+
+    def _start(self, coroutine: object) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _failed_write(error: KeyValueError) -> Event:
+    if error.failure is CallFailure.UNCERTAIN:
+        return WriteUncertain()
+    return ServiceFailed()
+
+
+def _head_key(shard: int) -> str:
+    return f"{PREFIX}/{shard}/head"
+
+
+def _segment_key(shard: int, segment_id: str) -> str:
+    return f"{PREFIX}/{shard}/segments/{segment_id}"
+
+
+def _answer_key(claim_id: str) -> str:
+    return f"{PREFIX}/answers/{claim_id}"
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,41 @@
+"""Fixtures: a site of separate processes, with two daemons if wanted."""
+
+from __future__ import annotations
+
+from itertools import count
+
+import pytest
+
+from tests.site import Site, example_sources
+
+_networks = (f"127.{high}.{low}" for high in range(20, 250) for low in count(1))
+
+
+@pytest.fixture
+async def site(tmp_path):
+    """A site with a key-value service and a host list, and nothing else yet."""
+    async with Site(tmp_path, next(_networks)) as running:
+        yield running
+
+
+@pytest.fixture
+async def pair(site, tmp_path):
+    """A site with two daemons, two engines and two services, configured."""
+    await site.start_engine("engine-1")
+    await site.start_engine("engine-2", "dc-2")
+    await site.start_service("service-1")
+    await site.start_service("service-2", "dc-2")
+    await site.start_daemon("entry-1", waits=False)
+    await site.start_daemon("entry-2", "dc-2", waits=False)
+    submitted = await site.submit(example_sources(tmp_path / "config"), 0)
+    assert submitted.returncode == 0, submitted.stderr
+    for name in ("entry-1", "entry-2"):
+        await site.wait_for(f"{site.url(name)}/ready")
+        await site.until(lambda name=name: _sees_all(site, name), f"{name} sees all")
+    return site
+
+
+async def _sees_all(site, name):
+    state = await site.state(name)
+    endpoints = len(state["endpoints_by_host"])
+    return endpoints == 4 and len(state["members_by_host"]) == 2
--- /dev/null
+++ b/tests/daemon/test_serving.py
@@ -0,0 +1,96 @@
+"""The whole path: callers, daemons, endpoints and the platform as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+from openai import AsyncOpenAI
+
+from tests.site import ADVISER_KEY
+
+AUTHORIZATION = {"Authorization": f"Bearer {ADVISER_KEY}"}
+
+
+def openai_client(site, name):
+    url = f"{site.url(name)}/v1"
+    return AsyncOpenAI(base_url=url, api_key=ADVISER_KEY, max_retries=0)
+
+
+async def test_openai_client_is_served_whole_and_streamed(pair):
+    messages = [{"role": "user", "content": "review the cohort of 1962"}]
+    texts = []
+    for name in ("entry-1", "entry-2"):
+        client = openai_client(pair, name)
+        whole = await client.chat.completions.create(
+            model="draft-small", messages=messages, max_tokens=12
+        )
+        parts = []
+        async for chunk in await client.chat.completions.create(
+            model="draft-small", messages=messages, max_tokens=12, stream=True
+        ):
+            parts += [choice.delta.content for choice in chunk.choices]
+        assert whole.choices[0].finish_reason == "length"
+        assert whole.usage.completion_tokens == 12
+        texts += [whole.choices[0].message.content, "".join(parts)]
+    assert len(texts[0].split()) == 12
+    assert len(set(texts)) == 1
+
+
+async def test_models_are_listed(pair):
+    models = await openai_client(pair, "entry-1").models.list()
+    assert [model.id for model in models.data] == ["draft-small"]
+
+
+async def test_every_event_has_an_id(pair):
+    body = {"model": "draft-small", "prompt": "a b", "max_tokens": 3, "stream": True}
+    url = f"{pair.url('entry-1')}/v1/completions"
+    async with pair.session.post(url, json=body, headers=AUTHORIZATION) as response:
+        lines = (await response.text()).split("\n\n")
+    ids = [line.split("\n")[0] for line in lines if line]
+    assert ids == ["id: 1", "id: 2", "id: 3", "id: 4"]
+    assert lines[3].endswith("data: [DONE]")
+
+
+async def test_service_call_is_passed_on(pair):
+    url = f"{pair.url('entry-1')}/services/filings/status/7%20a?x=1"
+    async with pair.session.get(url, headers=AUTHORIZATION) as response:
+        run = await response.json()
+    assert (response.status, run["path"], run["query"]) == (201, "/status/7 a", "x=1")
+
+
+async def test_filing_is_lodged_once_over_both_daemons(pair):
+    headers = {**AUTHORIZATION, "Idempotency-Key": "filing-1"}
+    answers = []
+    for name in ("entry-1", "entry-2", "entry-1"):
+        url = f"{pair.url(name)}/services/filings/filings"
+        async with pair.session.post(url, data="form", headers=headers) as response:
+            answers.append((response.status, await response.json()))
+    runs = [*await pair.get(f"{pair.url('service-1')}/log")]
+    runs += await pair.get(f"{pair.url('service-2')}/log")
+    assert len(runs) == 1
+    assert answers == [(201, runs[0])] * 3
+
+
+async def test_state_is_dumped_on_request_and_on_signal(pair):
+    process = pair.processes_by_name["entry-1"]
+    shown = await pair.tool("state", "entry-1")
+    assert json.loads(shown.stdout)["state"] == "ready"
+    process.send(signal.SIGUSR1)
+    await asyncio.sleep(0.2)
+    assert '"host":"entry-1"' in process.log.read_text()
+    assert ADVISER_KEY not in process.log.read_text() + shown.stdout
+
+
+async def test_terminated_daemon_finishes_its_streams(pair):
+    process = pair.processes_by_name["entry-1"]
+    body = {"model": "draft-small", "prompt": "a b", "max_tokens": 250, "stream": True}
+    url = f"{pair.url('entry-1')}/v1/completions"
+    async with pair.session.post(url, json=body, headers=AUTHORIZATION) as response:
+        await response.content.readline()
+        process.send(signal.SIGTERM)
+        text = await response.text()
+    assert text.rstrip().endswith("data: [DONE]")
+    assert text.count("data: ") == 251
+    assert await asyncio.to_thread(process.wait) == 0
--- /dev/null
+++ b/tests/site.py
@@ -0,0 +1,251 @@
+"""Runs a small site as separate processes on loopback: stand-ins and daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import yaml
+
+__all__ = ["ADVISER_KEY", "COUNCIL_KEY", "Site", "example_sources"]
+
+ROOT = Path(__file__).resolve().parent.parent
+ADVISER_KEY = "adviser-key"
+COUNCIL_KEY = "council-key"
+START_TIMEOUT_SECONDS = 15.0
+STOP_TIMEOUT_SECONDS = 15.0
+KEY_VALUE_PORT = 2379
+CLOUD_PORT = 8500
+ENGINE_PORT = 9000
+SERVICE_PORT = 9100
+
+
+@dataclass
+class Process:
+    name: str
+    address: str
+    popen: subprocess.Popen
+    log: Path
+
+    def send(self, number: signal.Signals) -> None:
+        self.popen.send_signal(number)
+
+    def wait(self) -> int:
+        return self.popen.wait(STOP_TIMEOUT_SECONDS)
+
+
+@dataclass
+class Site:
+    """A site on addresses of one /24 network of loopback."""
+
+    folder: Path
+    network: str
+    processes_by_name: dict[str, Process] = field(default_factory=dict)
+    hosts: list[dict[str, Any]] = field(default_factory=list)
+    session: aiohttp.ClientSession | None = None
+    _next_address: int = 10
+
+    async def __aenter__(self) -> Site:
+        self.session = aiohttp.ClientSession()
+        self.key_value = self._start_standin("key_value", "key-value", KEY_VALUE_PORT)
+        self.cloud = self._start_standin("cloud", "cloud", CLOUD_PORT)
+        await self.wait_for(f"{self.key_value_url}/faults")
+        await self.wait_for(f"{self.cloud_url}/faults")
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.session.close()
+        for process in self.processes_by_name.values():
+            if process.popen.poll() is None:
+                process.send(signal.SIGCONT)
+                process.send(signal.SIGKILL)
+                process.popen.wait()
+
+    @property
+    def key_value_url(self) -> str:
+        return f"http://{self.key_value.address}:{KEY_VALUE_PORT}"
+
+    @property
+    def cloud_url(self) -> str:
+        return f"http://{self.cloud.address}:{CLOUD_PORT}"
+
+    def url(self, name: str) -> str:
+        """Return the URL at which callers reach a daemon, or a stand-in is."""
+        process = self.processes_by_name[name]
+        ports = {host["host"]: host["port"] for host in self.hosts}
+        return f"http://{process.address}:{ports.get(name) or 8080}"
+
+    def operator_url(self, name: str) -> str:
+        return f"http://{self.processes_by_name[name].address}:8081"
+
+    async def start_engine(
+        self, name: str, data_centre: str = "dc-1", **options: Any
+    ) -> Process:
+        process = self._start_standin("engine", name, ENGINE_PORT, **options)
+        await self.wait_for(f"http://{process.address}:{ENGINE_PORT}/load")
+        await self.list_host(process, data_centre, "drafting", ENGINE_PORT)
+        return process
+
+    async def start_service(
+        self, name: str, data_centre: str = "dc-1", **options: Any
+    ) -> Process:
+        process = self._start_standin("service", name, SERVICE_PORT, **options)
+        await self.wait_for(f"http://{process.address}:{SERVICE_PORT}/log")
+        await self.list_host(process, data_centre, "filings", SERVICE_PORT)
+        return process
+
+    async def start_daemon(
+        self, name: str, data_centre: str = "dc-1", *, waits: bool = True
+    ) -> Process:
+        address = self._address()
+        settings = {
+            "host": name,
+            "data_centre": data_centre,
+            "site": "example",
+            "address": address,
+            "key_value_service": self.key_value_url,
+            "host_list": self.cloud_url,
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        command = ["-m", "amaranthhollow.daemon", "--settings", str(path)]
+        process = self._start(name, address, command)
+        await self.list_host(process, data_centre)
+        if waits:
+            await self.wait_for(f"http://{address}:8080/ready")
+        return process
+
+    async def list_host(
+        self, process: Process, data_centre: str, deployment: str = "", port: int = 0
+    ) -> None:
+        self.hosts = [host for host in self.hosts if host["host"] != process.name]
+        self.hosts.append(
+            {
+                "host": process.name,
+                "incarnation": process.popen.pid,
+                "address": process.address,
+                "data_centre": data_centre,
+                "role": "endpoint" if deployment else "entry",
+                "deployment": deployment,
+                "port": port,
+            }
+        )
+        await self.publish_hosts()
+
+    async def publish_hosts(self) -> None:
+        url = f"{self.cloud_url}/v1/hosts"
+        async with self.session.put(url, json=self.hosts) as response:
+            response.raise_for_status()
+
+    async def notify(self, hosts: list[str], seconds: float) -> None:
+        """Announce that ``hosts`` are reclaimed after ``seconds``."""
+        notice = {"hosts": hosts, "leaves_at": time.time() + seconds}
+        async with self.session.post(
+            f"{self.cloud_url}/v1/notices", json=notice
+        ) as response:
+            response.raise_for_status()
+
+    async def faults(self, url: str, **values: Any) -> None:
+        async with self.session.put(f"{url}/faults", json=values) as response:
+            response.raise_for_status()
+
+    async def get(self, url: str) -> Any:
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def state(self, name: str) -> dict[str, Any]:
+        return await self.get(f"{self.operator_url(name)}/state")
+
+    async def submit(self, folder: Path, based_on: int) -> subprocess.CompletedProcess:
+        return await self.tool("config", "submit", str(folder), "--on", str(based_on))
+
+    async def tool(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the operators' tool and return what it printed."""
+        settings = {
+            "key_value_service": self.key_value_url,
+            "host_list": self.cloud_url,
+        }
+        path = self.folder / "tool.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-m", "amaranthhollow.cli", *arguments],
+            env={**os.environ, "AMARANTHHOLLOW_SETTINGS": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+
+    async def wait_for(self, url: str) -> None:
+        await self.until(lambda: self._answers(url), f"{url} answers")
+
+    async def until(self, holds, what: str, timeout: float = START_TIMEOUT_SECONDS):
+        """Poll until ``await holds()`` is true, and return that value."""
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            value = await holds()
+            if value:
+                return value
+            await asyncio.sleep(0.02)
+        raise AssertionError(f"not in {timeout} s: {what}")
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def _start_standin(
+        self, module: str, name: str, port: int, **options: Any
+    ) -> Process:
+        address = self._address()
+        command = ["-m", f"tests.standins.{module}", "--address", address]
+        command += ["--port", str(port)]
+        for key, value in options.items():
+            flag = "--" + key.replace("_", "-")
+            command += [flag] if value is True else [flag, str(value)]
+        return self._start(name, address, command)
+
+    def _start(self, name: str, address: str, command: list[str]) -> Process:
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
+            popen = subprocess.Popen(
+                [sys.executable, *command], cwd=ROOT, stdout=output, stderr=output
+            )
+        process = Process(name, address, popen, log)
+        self.processes_by_name[name] = process
+        return process
+
+    def _address(self) -> str:
+        self._next_address += 1
+        return f"{self.network}.{self._next_address}"
+
+
+def example_sources(folder: Path, **changes: Any) -> Path:
+    """Write the example configuration into ``folder``; ``changes`` go into the base."""
+    base = yaml.safe_load((ROOT / "examples" / "config" / "base.yaml").read_text())
+    base["workspaces"] = {
+        "advisers": _workspace(ADVISER_KEY),
+        "councils": _workspace(COUNCIL_KEY),
+    }
+    base.update(changes)
+    (folder / "sites").mkdir(parents=True, exist_ok=True)
+    (folder / "base.yaml").write_text(yaml.safe_dump(base))
+    (folder / "sites" / "example.yaml").write_text("{}\n")
+    return folder
+
+
+def _workspace(key: str) -> dict[str, Any]:
+    digest = sha256(key.encode()).hexdigest()
+    return {"key_sha256": digest, "requests_per_second": 2000}
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, each a process of its own."""
--- /dev/null
+++ b/tests/standins/cloud.py
@@ -0,0 +1,71 @@
+"""Stand-in for the platform's host list and cloud API.
+
+Faults: ``down``, ``lag_seconds`` (the list is that old; notices are not),
+``refuse_starts``.
+"""
+
+from __future__ import annotations
+
+import time
+
+from aiohttp import web
+
+from tests.standins.base import Faults, arguments, serve
+
+
+class CloudStandIn:
+    """The hosts as they are, and as the lagging list shows them."""
+
+    def __init__(self) -> None:
+        self.faults = Faults(down=False, lag_seconds=0.0, refuse_starts=False)
+        self._snapshots: list[tuple[float, list[dict]]] = [(0.0, [])]
+        self._notices_by_host: dict[str, dict] = {}
+        self._starts: list[dict] = []
+
+    def build(self) -> web.Application:
+        app = web.Application(client_max_size=4 << 20)
+        app.router.add_get("/v1/hosts", self._list)
+        app.router.add_put("/v1/hosts", self._replace)
+        app.router.add_post("/v1/hosts", self._start)
+        app.router.add_post("/v1/notices", self._notify)
+        return app
+
+    async def _list(self, request: web.Request) -> web.Response:
+        if self.faults["down"]:
+            return web.json_response({"error": "unavailable"}, status=503)
+        seen_at = time.time() - self.faults["lag_seconds"]
+        as_of, hosts = next(s for s in reversed(self._snapshots) if s[0] <= seen_at)
+        notices = list(self._notices_by_host.values())
+        return web.json_response({"as_of": as_of, "hosts": hosts, "notices": notices})
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        hosts = await request.json()
+        self._snapshots.append((time.time(), hosts))
+        return web.json_response({"hosts": len(hosts)})
+
+    async def _start(self, request: web.Request) -> web.Response:
+        wanted = await request.json()
+        if self.faults["refuse_starts"]:
+            return web.json_response({"error": "no capacity"}, status=409)
+        self._starts.append(wanted)
+        return web.json_response(wanted, status=202)
+
+    async def _notify(self, request: web.Request) -> web.Response:
+        """Announce the reclaim of hosts: ``{"hosts": [...], "leaves_at": ...}``."""
+        notice = await request.json()
+        _, hosts = self._snapshots[-1]
+        now = time.time()
+        changed = []
+        for host in hosts:
+            if host["host"] in notice["hosts"]:
+                host = {**host, "state": "leaving", "leaves_at": notice["leaves_at"]}
+                self._notices_by_host[host["host"]] = host
+            changed.append(host)
+        self._snapshots.append((now, changed))
+        return web.json_response({"noticed": sorted(self._notices_by_host)})
+
+
+if __name__ == "__main__":
+    options = arguments(__doc__).parse_args()
+    standin = CloudStandIn()
+    serve(standin.build, standin.faults, options.address, options.port)
