Record outcomes that are reported during a backoff

Cause: an outcome reported while the key-value service was in backoff was kept, but no timer was set unless an earlier failure had left an outcome behind; the key stayed claimed until the next claim on the shard. Found by the state machine over the claim decisions in 32 s (shrunk to five steps). Ruled out: a lost write; the service was never called again. Change: a writer that needs the service during a backoff asks to be woken. Before: test_no_interleaving_runs_a_key_twice fails. After: 13 tests of the claim decisions pass in 20 s. The shrunk case is a test of its own.

--- a/src/amaranthhollow/decisions/claims.py
+++ b/src/amaranthhollow/decisions/claims.py
@@ -260,8 +260,10 @@
 def _proceed(state: ShardState, now: float) -> Step:
     """Start the next call to the service if one is needed and none is under way."""
     is_needed = bool(state.waiting or state.outcomes)
-    if state.phase is not Phase.IDLE or not is_needed or now < state.retry_at:
+    if state.phase is not Phase.IDLE or not is_needed:
         return Step(state)
+    if now < state.retry_at:
+        return Step(state, (WakeAt(state.retry_at),))
     if state.view is None:
         return Step(replace(state, phase=Phase.LOADING_HEAD), (LoadHead(),))
     missing = state.view.missing_segments
