Prove at-most-once with processes, and quarantine requests that crash endpoints

Cause: claims were tested only against a model of the service. One more fault showed: a lost connection at each of two endpoints made every later request "not run" for the backoff of 0.5 s. Ruled out: a claim left behind; the refusals were true, but needless. Change: when all endpoints of a deployment are in backoff, all are tried. Crash evidence spreads by gossip; a request alone among earlier suspects at its second crash gets a final answer. Streams are handed to peers before an entry host is reclaimed.

--- a/src/amaranthhollow/daemon/discovery.py
+++ b/src/amaranthhollow/daemon/discovery.py
@@ -16,6 +16,8 @@
 from amaranthhollow.decisions.routing import LOAD_FACT, LoadReport
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from amaranthhollow.daemon.gossiping import Gossiping
     from amaranthhollow.daemon.node import Node
     from amaranthhollow.decisions.endpoints import Endpoint
@@ -32,8 +34,14 @@
 class Discovery:
     """Feeds the platform's list and the engines' load into gossip."""
 
-    def __init__(self, node: Node, gossiping: Gossiping) -> None:
-        """Publish what is learned through ``gossiping``."""
+    def __init__(
+        self, node: Node, gossiping: Gossiping, on_reclaim: Callable[[float], None]
+    ) -> None:
+        """Publish what is learned through ``gossiping``.
+
+        ``on_reclaim`` is called with the instant at which this host is reclaimed.
+        """
+        self._on_reclaim = on_reclaim
         self._node = node
         self._gossiping = gossiping
         self._is_list_available = True
@@ -61,6 +69,7 @@
     def _learn(self, listing: HostListing) -> None:
         node = self._node
         entries = [h for h in listing.hosts if h.role == "entry"]
+        self._check_own_host([*entries, *listing.notices])
         for entry in entries:
             info = DaemonInfo(entry.address, entry.data_centre, DaemonStatus.ALIVE)
             node.membership.learn_listed(entry.host, info, node.now())
@@ -74,6 +83,13 @@
         )
         self._gossiping.publish(fact for fact in notices if fact is not None)
 
+    def _check_own_host(self, entries: list[HostEntry]) -> None:
+        """Begin a shutdown when this daemon's own host is to be reclaimed."""
+        for entry in entries:
+            is_own = entry.host == self._node.settings.host
+            if is_own and entry.state == "leaving" and entry.leaves_at:
+                self._on_reclaim(entry.leaves_at)
+
     def _polls(self, endpoint: Endpoint) -> bool:
         node = self._node
         deployment = node.configuration.deployments.get(endpoint.listed.deployment)
--- a/src/amaranthhollow/daemon/gossiping.py
+++ b/src/amaranthhollow/daemon/gossiping.py
@@ -12,6 +12,7 @@
 from amaranthhollow.decisions.configuration import CONFIGURATION_FACT, HeadEntry
 from amaranthhollow.decisions.endpoints import ENDPOINT_FACT
 from amaranthhollow.decisions.gossip import Fact, GossipMessage, Version, select_peers
+from amaranthhollow.decisions.quarantine import CRASH_FACT
 from amaranthhollow.decisions.routing import LOAD_FACT, LoadReport
 
 if TYPE_CHECKING:
@@ -56,6 +57,14 @@
             node.membership.table.remove(ENDPOINT_FACT, host)
             node.membership.table.remove(LOAD_FACT, host)
             node.router.forget(host)
+        for name in node.quarantine.expire(node.now()):
+            node.membership.table.remove(CRASH_FACT, name)
+
+    def settle_losses(self) -> None:
+        """Publish what lost connections say about the requests that were running."""
+        node = self._node
+        reclaimed = [e.host for e in node.endpoints.all() if e.is_reclaimed]
+        self.publish(node.quarantine.settle(reclaimed, node.now()))
 
     def receive(self, message: GossipMessage) -> GossipMessage:
         """Take in a peer's message and return the reply."""
@@ -72,6 +81,8 @@
                 case "configuration":
                     entry = msgspec.json.decode(fact.value, type=HeadEntry)
                     self._on_revision(entry, sender)
+                case "crash":
+                    self._apply_evidence(fact)
                 case "load":
                     report = msgspec.msgpack.decode(fact.value, type=LoadReport)
                     node.router.reported(fact.name, report.requests)
@@ -110,6 +121,14 @@
         self._node.counters.increment("gossip.bytes", len(data))
         await self._node.links.call(address, lambda peer: peer.exchange(data))
 
+    def _apply_evidence(self, fact: Fact) -> None:
+        node = self._node
+        digest = node.quarantine.apply(fact).request_digest
+        node.counters.increment("quarantine.evidence")
+        if node.quarantine.is_quarantined(digest):
+            node.counters.increment("quarantine.requests")
+            log.warning("request {} is quarantined", digest.hex())
+
     def _apply_endpoint(self, fact: Fact) -> None:
         node = self._node
         before = node.endpoints.get(fact.name)
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -8,11 +8,13 @@
 
 from amaranthhollow.decisions.endpoints import EndpointTable
 from amaranthhollow.decisions.limits import WorkspaceLimiter
+from amaranthhollow.decisions.quarantine import Quarantine
 from amaranthhollow.decisions.retries import RetryBudget
 from amaranthhollow.decisions.routing import Router
 from amaranthhollow.decisions.statechart import load_chart
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from amaranthhollow.configuration.model import Configuration
@@ -49,7 +51,9 @@
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     router: Router = field(default_factory=Router)
     limiter: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    settle_losses: Callable[[], None] = lambda: None
     lifecycle: str = load_chart("daemon").initial
     open_requests: int = 0
     claim_sequence: int = 0
--- a/src/amaranthhollow/daemon/peer_handler.py
+++ b/src/amaranthhollow/daemon/peer_handler.py
@@ -57,6 +57,6 @@
     """Return the events of ``stream`` after ``after_id``."""
     return StreamTail(
         prompt_tokens=stream.prompt_tokens,
-        is_produced=stream.has_producer and not stream.is_ended,
+        is_produced=stream.is_growing,
         events=stream.assembler.emitted[after_id:],
     )
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import sys
 import time
@@ -21,6 +22,7 @@
 from amaranthhollow.daemon.operator_app import operator_app
 from amaranthhollow.daemon.peer_handler import DaemonPeerHandler
 from amaranthhollow.daemon.state_dump import dump_state
+from amaranthhollow.daemon.stream_handover import hand_over_streams
 from amaranthhollow.decisions.configuration import AppliedConfiguration
 from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
 from amaranthhollow.endpoints.engine import EngineClient
@@ -46,6 +48,7 @@
 
 DRAIN_NOTICE_SECONDS = 1.0
 DRAIN_FLUSH_SECONDS = 5.0
+HANDOVER_SECONDS = 1.0
 STREAM_EXPIRY_SECONDS = 1.0
 
 log = logbook.Logger("daemon")
@@ -67,11 +70,13 @@
         self._configuration = ConfigurationSync(node, store)
         self._gossiping = Gossiping(node, self._configuration.on_revision)
         self._configuration.attach(self._gossiping)
-        self._discovery = Discovery(node, self._gossiping)
+        node.settle_losses = self._gossiping.settle_losses
+        self._discovery = Discovery(node, self._gossiping, self._on_reclaim)
         self._handler = DaemonPeerHandler(
             self._gossiping, self._configuration, self._streams
         )
         self._drain_requested = asyncio.Event()
+        self._leaves_at = math.inf
         address = str(settings.address)
         callers = caller_app(node, self._streams)
         operators = operator_app(node, self._streams, self._drain_requested.set)
@@ -120,18 +125,33 @@
         node.membership.drain()
         await self._gossiping.exchange_once()
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
-        await self._callers.stop()
+        await self._finish_requests()
         is_flushed = await node.claims.flush(node.now() + DRAIN_FLUSH_SECONDS)
         if not is_flushed:
             log.warning("{} outcomes were not recorded", node.claims.unfinished)
         node.advance("drained")
         log.info("daemon is {}", node.lifecycle)
 
+    async def _finish_requests(self) -> None:
+        """Wait for every open request; hand streams over if the host is reclaimed."""
+        stopping = asyncio.create_task(self._callers.stop())
+        time_left = self._leaves_at - HANDOVER_SECONDS - self._node.now()
+        timeout = None if math.isinf(time_left) else max(0.0, time_left)
+        _, pending = await asyncio.wait({stopping}, timeout=timeout)
+        if pending:
+            await hand_over_streams(self._node, self._streams)
+            self._callers.force_exit = True
+            await stopping
+
     async def _expire_streams(self) -> None:
         while True:
             await asyncio.sleep(STREAM_EXPIRY_SECONDS)
             self._streams.expire(self._node.now())
 
+    def _on_reclaim(self, leaves_at: float) -> None:
+        self._leaves_at = min(self._leaves_at, leaves_at)
+        self._drain_requested.set()
+
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._drain_requested.set)
--- a/src/amaranthhollow/daemon/state_dump.py
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -44,6 +44,7 @@
         "claims_by_shard": {
             str(shard): _shard(node, shard) for shard in range(SHARD_COUNT)
         },
+        "quarantined": [d.hex() for d in node.quarantine.quarantined()],
         "streams": len(streams),
         "facts": len(node.membership.table),
         "retry_budget": node.retry_budget.tokens,
--- /dev/null
+++ b/src/amaranthhollow/daemon/stream_handover.py
@@ -0,0 +1,42 @@
+"""Hands the emitted part of running streams to peers before a host is reclaimed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from amaranthhollow.decisions.rendezvous import ranked
+from amaranthhollow.peers.stream_tails import StreamTail, tail_fields
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.gateway.live_streams import LiveStream, StreamRegistry
+
+__all__ = ["hand_over_streams"]
+
+COPIES = 2
+
+
+async def hand_over_streams(node: Node, streams: StreamRegistry) -> None:
+    """Give every stream to the first peers in line for its key.
+
+    A caller who reconnects anywhere with the key gets what they hold, and the
+    daemon that it reaches produces the rest.
+    """
+    await asyncio.gather(
+        *(_hand_over(node, key, stream) for key, stream in streams.items())
+    )
+
+
+async def _hand_over(node: Node, key_digest: bytes, stream: LiveStream) -> None:
+    stream.detach()
+    tail = StreamTail(stream.prompt_tokens, False, list(stream.assembler.emitted))
+    fields = tail_fields(tail)
+    hosts = [h for h in node.membership.active_hosts if h != node.settings.host]
+    for host in ranked(key_digest.hex(), hosts)[:COPIES]:
+        info = node.membership.info(host)
+        if info is not None:
+            await node.links.call(
+                info.address, lambda peer: peer.adoptStream(key_digest, fields)
+            )
+    node.counters.increment("streams.handed_over")
--- a/src/amaranthhollow/decisions/endpoints.py
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -75,6 +75,11 @@
         """The host that names the endpoint."""
         return self.listed.host
 
+    @property
+    def is_reclaimed(self) -> bool:
+        """Tell whether the host is leaving or gone, by notice or by the list."""
+        return self.state in ("leaving", "gone")
+
     @property
     def url(self) -> str:
         """Base URL of the endpoint."""
@@ -99,14 +104,17 @@
         return list(self._by_host.values())
 
     def usable(self, deployment: str, now: float) -> list[Endpoint]:
-        """Return the endpoints of a deployment that may get new work."""
-        return [
+        """Return the endpoints of a deployment that may get new work.
+
+        When all of them failed a moment ago, all are tried: refusing every request
+        until a backoff ends would turn one lost connection each into an outage.
+        """
+        staying = [
             endpoint
             for endpoint in self._by_host.values()
-            if endpoint.listed.deployment == deployment
-            and endpoint.state in ("live", "suspected")
-            and endpoint.retry_at <= now
+            if endpoint.listed.deployment == deployment and not endpoint.is_reclaimed
         ]
+        return [e for e in staying if e.retry_at <= now] or staying
 
     def facts_from_list(self, listed: Iterable[ListedEndpoint]) -> list[Fact]:
         """Return the facts of a host list; hosts that it lacks are gone."""
--- /dev/null
+++ b/src/amaranthhollow/decisions/quarantine.py
@@ -0,0 +1,155 @@
+"""Finds requests that crash the endpoints that run them, and stops them.
+
+Whatever was running at an endpoint when it crashed is a suspect. A suspect that is
+running at another crash is quarantined, unless another earlier suspect was running
+there too: then either may be the cause, and both go on as suspects. The evidence is
+a set of facts that only grows, so all daemons come to the same verdict.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from amaranthhollow.decisions.gossip import Fact, Version
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ["CRASH_FACT", "SETTLE_SECONDS", "Evidence", "Quarantine"]
+
+CRASH_FACT = "crash"
+SETTLE_SECONDS = 0.3
+EVIDENCE_RETENTION_SECONDS = 3600.0
+DATA_CENTRE_LOSS_ENDPOINTS = 2
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """A request was running at an endpoint when it crashed.
+
+    ``crash_id`` names the endpoint and its incarnation; ``at`` is in seconds since
+    the Unix epoch.
+    """
+
+    request_digest: bytes
+    crash_id: str
+    at: float
+
+
+@dataclass(frozen=True)
+class _Loss:
+    """A lost connection that is not evidence yet: a whole data centre may be lost."""
+
+    evidence: Evidence
+    host: str
+    data_centre: str
+    settles_at: float
+
+
+class Quarantine:
+    """The evidence that one daemon knows."""
+
+    def __init__(self) -> None:
+        """Start without evidence."""
+        self._losses: list[_Loss] = []
+        self._by_request: dict[bytes, dict[str, Evidence]] = {}
+        self._by_crash: dict[str, dict[bytes, Evidence]] = {}
+
+    def is_suspect(self, request_digest: bytes) -> bool:
+        """Tell whether the request was running at any crash."""
+        return request_digest in self._by_request
+
+    def is_quarantined(self, request_digest: bytes) -> bool:
+        """Tell whether the request is the only earlier suspect of a later crash."""
+        crashes = self._by_request.get(request_digest, {})
+        return any(
+            self._has_earlier(request_digest, evidence.at)
+            and not self._has_other_suspect(evidence)
+            for evidence in crashes.values()
+        )
+
+    def quarantined(self) -> list[bytes]:
+        """Return the digests of all quarantined requests."""
+        return [digest for digest in self._by_request if self.is_quarantined(digest)]
+
+    def connection_lost(
+        self,
+        request_digest: bytes,
+        host: str,
+        incarnation: int,
+        data_centre: str,
+        now: float,
+    ) -> float:
+        """Note a connection lost without a notice; returns when it is settled."""
+        evidence = Evidence(request_digest, f"{host}@{incarnation}", now)
+        settles_at = now + SETTLE_SECONDS
+        self._losses.append(_Loss(evidence, host, data_centre, settles_at))
+        return settles_at
+
+    def settle(self, reclaimed: Iterable[str], now: float) -> list[Fact]:
+        """Return the evidence that is now settled.
+
+        The loss of a host in ``reclaimed``, or of several in one data centre at
+        once, says nothing about the requests that were running.
+        """
+        due = [loss for loss in self._losses if loss.settles_at <= now]
+        lost_by_data_centre: dict[str, set[str]] = {}
+        for loss in self._losses:
+            lost_by_data_centre.setdefault(loss.data_centre, set()).add(loss.host)
+        self._losses = [loss for loss in self._losses if loss.settles_at > now]
+        excused = set(reclaimed)
+        return [
+            _fact(loss.evidence)
+            for loss in due
+            if loss.host not in excused
+            and len(lost_by_data_centre[loss.data_centre]) < DATA_CENTRE_LOSS_ENDPOINTS
+        ]
+
+    def apply(self, fact: Fact) -> Evidence:
+        """Take in evidence that gossip found new."""
+        evidence = msgspec.msgpack.decode(fact.value, type=Evidence)
+        digest, crash_id = evidence.request_digest, evidence.crash_id
+        self._by_request.setdefault(digest, {})[crash_id] = evidence
+        self._by_crash.setdefault(crash_id, {})[digest] = evidence
+        return evidence
+
+    def expire(self, now: float) -> list[str]:
+        """Forget old evidence, and return the names of its facts."""
+        old = [
+            evidence
+            for crashes in self._by_request.values()
+            for evidence in crashes.values()
+            if evidence.at + EVIDENCE_RETENTION_SECONDS <= now
+        ]
+        for evidence in old:
+            _discard(self._by_request, evidence.request_digest, evidence.crash_id)
+            _discard(self._by_crash, evidence.crash_id, evidence.request_digest)
+        return [_name(evidence) for evidence in old]
+
+    def _has_earlier(self, request_digest: bytes, at: float) -> bool:
+        crashes = self._by_request.get(request_digest, {})
+        return any(evidence.at < at for evidence in crashes.values())
+
+    def _has_other_suspect(self, evidence: Evidence) -> bool:
+        others = self._by_crash[evidence.crash_id]
+        return any(
+            digest != evidence.request_digest and self._has_earlier(digest, other.at)
+            for digest, other in others.items()
+        )
+
+
+def _discard(index: dict, outer: bytes | str, inner: bytes | str) -> None:
+    index[outer].pop(inner, None)
+    if not index[outer]:
+        del index[outer]
+
+
+def _name(evidence: Evidence) -> str:
+    return f"{evidence.request_digest.hex()}/{evidence.crash_id}"
+
+
+def _fact(evidence: Evidence) -> Fact:
+    value = msgspec.msgpack.encode(evidence)
+    return Fact(CRASH_FACT, _name(evidence), Version(1), value)
--- a/src/amaranthhollow/gateway/live_streams.py
+++ b/src/amaranthhollow/gateway/live_streams.py
@@ -19,27 +19,44 @@
 
 
 class LiveStream:
-    """One answer in production: its events so far, and who waits for more."""
+    """One answer in production: its events so far, and who waits for more.
+
+    A stream without a producer is one that another daemon left behind; it can be
+    given a producer again.
+    """
 
     def __init__(self, prompt_tokens: int = 0) -> None:
-        """Start without events."""
+        """Start without events and without a producer."""
         self.assembler = StreamAssembler()
         self.prompt_tokens = prompt_tokens
         self.problem: Problem | None = None
         self.readers = 0
         self.has_producer = False
         self.on_abandoned: Callable[[], object] | None = None
-        self._is_ended = False
         self._changes: set[asyncio.Event] = set()
 
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether the whole answer is there."""
+        return self.assembler.is_complete
+
     @property
     def is_ended(self) -> bool:
-        """Tell whether no more events follow."""
-        return self._is_ended or self.assembler.is_complete
+        """Tell whether nothing follows: the answer is whole or has failed."""
+        return self.is_complete or self.problem is not None
+
+    @property
+    def is_growing(self) -> bool:
+        """Tell whether more events are to come."""
+        return self.has_producer and not self.is_ended
+
+    def begin(self) -> None:
+        """Note that a producer adds events from now on."""
+        self.has_producer = True
 
     def accept(self, chunk: Chunk) -> None:
         """Take in a chunk of an attempt."""
-        if self.assembler.accept(chunk):
+        if self.has_producer and self.assembler.accept(chunk):
             self._notify()
 
     def adopt(self, events: list[Emitted]) -> None:
@@ -48,18 +65,22 @@
         self._notify()
 
     def end(self, problem: Problem | None = None) -> None:
-        """End the stream, with a problem unless the answer is complete."""
-        if not self.assembler.is_complete:
+        """End production, with a problem unless the answer is complete."""
+        if not self.is_complete:
             self.problem = problem
-        self._is_ended = True
+        self.detach()
+
+    def detach(self) -> None:
+        """Stop production here; what was emitted stays for another producer."""
+        self.has_producer = False
         self._notify()
 
     async def wait_until(self, position: int) -> None:
-        """Wait until there are more than ``position`` events, or no more follow."""
+        """Wait until there are more than ``position`` events, or none follow."""
         change = asyncio.Event()
         self._changes.add(change)
         try:
-            while self.assembler.position <= position and not self.is_ended:
+            while self.assembler.position <= position and self.is_growing:
                 change.clear()
                 await change.wait()
         finally:
@@ -80,7 +101,7 @@
                 position += len(events)
         finally:
             self.readers -= 1
-            if not self.readers and not self.is_ended and self.on_abandoned:
+            if not self.readers and self.is_growing and self.on_abandoned:
                 self.on_abandoned()
 
     def _notify(self) -> None:
@@ -114,9 +135,9 @@
         self._expiry_by_key.pop(key_digest, None)
 
     def expire(self, now: float) -> None:
-        """Forget streams some time after they ended."""
+        """Forget streams some time after the last event was added."""
         for key, stream in list(self._streams_by_key.items()):
-            if not stream.is_ended:
+            if stream.is_growing:
                 continue
             if self._expiry_by_key.setdefault(key, now + REJOIN_SECONDS) <= now:
                 del self._streams_by_key[key], self._expiry_by_key[key]
--- a/src/amaranthhollow/gateway/model_calls.py
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from amaranthhollow.decisions.claim_records import digest
 from amaranthhollow.decisions.recovery import (
     LetFinish,
     MoveCache,
@@ -16,6 +17,7 @@
 from amaranthhollow.decisions.retries import AttemptFailure, Outcome
 from amaranthhollow.decisions.routing import prefix_key
 from amaranthhollow.endpoints.engine import AttemptFailed, EngineRequest
+from amaranthhollow.gateway.losses import note_loss
 from amaranthhollow.gateway.problems import Problem
 
 if TYPE_CHECKING:
@@ -55,6 +57,12 @@
         self._tried: set[str] = set()
         self._kv_target: Endpoint | None = None
         self._kv_handle = ""
+        self._digest = digest(
+            deployment,
+            request.prompt_text,
+            str(request.max_tokens),
+            repr(sorted(request.sampling.items())),
+        )
 
     async def run(self) -> None:
         """Produce the answer; the stream ends with it or with a problem."""
@@ -67,6 +75,8 @@
 
     async def _run_attempts(self) -> Problem | None:
         while not self._stream.assembler.is_complete:
+            if self._node.quarantine.is_quarantined(self._digest):
+                return quarantined()
             endpoint = await self._choose()
             if endpoint is None:
                 detail = f"No endpoint of {self._deployment!r} takes requests now."
@@ -75,7 +85,7 @@
             try:
                 await self._attempt(endpoint)
             except AttemptFailed as error:
-                problem = self._after_failure(endpoint, error)
+                problem = await self._after_failure(endpoint, error)
                 if problem is not None:
                     return problem
         return None
@@ -89,8 +99,12 @@
         key = prefix_key(self._deployment, self._request.prompt_text)
         while True:
             usable = node.endpoints.usable(self._deployment, node.now())
+            is_suspect = node.quarantine.is_suspect(self._digest)
+            if is_suspect:
+                usable = node.router.without_suspects(usable)
             endpoint = node.router.choose(usable, key, self._tried)
-            if endpoint is not None or not self._stream.assembler.position:
+            may_wait = is_suspect or self._stream.assembler.position
+            if endpoint is not None or not may_wait:
                 return endpoint
             await asyncio.sleep(ENDPOINT_WAIT_SECONDS)
 
@@ -111,11 +125,16 @@
         )
         self._kv_handle = ""
         node.router.started(endpoint.host)
+        is_suspect = node.quarantine.is_suspect(self._digest)
+        if is_suspect:
+            node.router.suspect_started(endpoint.host)
         pump = asyncio.create_task(self._pump(endpoint, request))
         try:
             await self._supervise(endpoint, request, pump)
         finally:
             node.router.ended(endpoint.host)
+            if is_suspect:
+                node.router.suspect_ended(endpoint.host)
             pump.cancel()
 
     async def _pump(self, endpoint: Endpoint, request: EngineRequest) -> None:
@@ -157,7 +176,7 @@
         """Move the stream if its endpoint is leaving and it cannot finish there."""
         node = self._node
         current = node.endpoints.get(endpoint.host)
-        if current is None or current.state in ("live", "suspected"):
+        if current is None or not current.is_reclaimed:
             return False
         assembler = self._stream.assembler
         produced = assembler.position - request.position
@@ -188,7 +207,7 @@
         node.counters.increment("streams.kv_moved")
         self._kv_target, self._kv_handle = target, moved.ok_value.handle
 
-    def _after_failure(
+    async def _after_failure(
         self, endpoint: Endpoint, error: AttemptFailed
     ) -> Problem | None:
         """Return the problem to end with, or None to try again elsewhere."""
@@ -205,8 +224,13 @@
         node.endpoints.failed(endpoint.host, node.now())
         node.counters.increment(f"attempts.{error.failure.name.lower()}")
         current = node.endpoints.get(endpoint.host)
-        is_reclaimed = current is None or current.state in ("leaving", "gone")
-        if is_reclaimed or node.may_retry():
+        if current is None or current.is_reclaimed:
+            return None
+        delay = 0.0
+        if error.failure is AttemptFailure.CONNECTION_LOST:
+            delay = note_loss(node, endpoint, self._digest)
+        if node.may_retry():
+            await asyncio.sleep(delay)
             return None
         return self._problem(503, "retries-exhausted", f"The attempt failed: {error}.")
 
@@ -221,3 +245,15 @@
             outcome=Outcome.NOT_RUN if is_unsent else Outcome.FAILED,
             retry_after_seconds=self._node.retry_after_seconds(1.0),
         )
+
+
+def quarantined() -> Problem:
+    """Return the final answer to a request that crashed endpoints."""
+    return Problem(
+        status=422,
+        kind="quarantined",
+        title="The request is quarantined",
+        detail="This request was running at more than one endpoint that crashed; "
+        "it is not run again.",
+        outcome=Outcome.FAILED,
+    )
--- a/src/amaranthhollow/gateway/model_resource.py
+++ b/src/amaranthhollow/gateway/model_resource.py
@@ -143,12 +143,12 @@
             raise invalid("model", detail, status=404)
         key = idempotency_key(request)
         after_id = _last_event_id(request)
-        key_digest = digest(workspace, deployment, key) if key else None
+        key_digest = _stream_key(workspace, deployment, key, parsed) if key else None
         stream = await self._rejoin(key_digest, after_id)
         if stream is None:
             admit(node, workspace)
             stream = self._begin(parsed, deployment, deadline, key_digest, None)
-        elif not stream.is_ended and stream.problem is None and _is_orphan(stream):
+        elif not stream.is_ended and not stream.has_producer:
             stream = self._begin(parsed, deployment, deadline, key_digest, stream)
         await stream.wait_until(after_id)
         if stream.problem is not None and stream.assembler.position <= after_id:
@@ -184,7 +184,7 @@
         """Start producing an answer, or the rest of one that lost its daemon."""
         prompt_tokens = len(parsed.prompt_text.split())
         stream = orphan or LiveStream(prompt_tokens)
-        stream.has_producer = True
+        stream.begin()
         if key_digest is not None:
             self._streams.put(key_digest, stream)
         call = ModelCall(self._node, parsed, uuid4().hex, deployment, stream, deadline)
@@ -205,7 +205,7 @@
             await production
         except asyncio.CancelledError:
             node.counters.increment("streams.abandoned")
-            stream.end()
+            stream.detach()
         else:
             ending = "failed" if stream.problem else "answered"
             node.counters.increment(f"requests.{ending}")
@@ -217,6 +217,8 @@
             pass
         if stream.problem is not None:
             raise ProblemError(stream.problem)
+        if not stream.is_complete:
+            raise ProblemError(_interrupted(self._node))
         response.content_type = "application/json"
         response.data = msgspec.json.encode(answer.whole(stream))
 
@@ -256,6 +258,9 @@
         document = {"error": stream.problem.document()}
         yield SSEvent(data=msgspec.json.encode(document), event_id=str(last_id))
         return
+    if not stream.is_complete:
+        # The caller sees no end, and fetches the rest at another daemon.
+        return
     if answer.request.includes_usage:
         last_id += 1
         document = {**answer.chunk([]), "usage": _usage(stream)}
@@ -272,8 +277,24 @@
     }
 
 
-def _is_orphan(stream: LiveStream) -> bool:
-    return not stream.has_producer
+def _stream_key(
+    workspace: str, deployment: str, key: str, request: ModelRequest
+) -> bytes:
+    """Identify a stream: the same key with another body is another stream."""
+    sampling = repr(sorted(request.sampling.items()))
+    tokens = str(request.max_tokens)
+    return digest(workspace, deployment, key, request.prompt_text, tokens, sampling)
+
+
+def _interrupted(node: Node) -> Problem:
+    return Problem(
+        status=503,
+        kind="host-reclaimed",
+        title="The entry host is being reclaimed",
+        detail="Send the request again with its Idempotency-Key for the whole answer.",
+        outcome=Outcome.FAILED,
+        retry_after_seconds=node.retry_after_seconds(1.0),
+    )
 
 
 def _answer_id(is_chat: bool) -> str:
--- a/src/amaranthhollow/gateway/service_calls.py
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,8 +20,11 @@
     ClaimState,
     digest,
 )
+from amaranthhollow.decisions.quarantine import SETTLE_SECONDS
 from amaranthhollow.decisions.retries import AttemptFailure, Outcome
 from amaranthhollow.endpoints.service import ServiceAnswer
+from amaranthhollow.gateway.losses import note_loss
+from amaranthhollow.gateway.model_calls import quarantined
 from amaranthhollow.gateway.problems import Problem, ProblemError
 
 if TYPE_CHECKING:
@@ -48,8 +52,11 @@
     tried: set[str] = set()
     has_run = False
     for attempt in range(MAX_ATTEMPTS):
+        _refuse_quarantined(node, request)
         if attempt and not node.may_retry():
             break
+        if failure is AttemptFailure.CONNECTION_LOST:
+            await asyncio.sleep(SETTLE_SECONDS)
         result = await _attempt(node, request, tried)
         if result is None:
             break
@@ -65,6 +72,7 @@
 
 async def call_once(node: Node, request: ServiceRequest) -> ServiceAnswer:
     """Call a service at most once for the request's idempotency key."""
+    _refuse_quarantined(node, request)
     record = _claim_record(node, request)
     result = await node.claims.claim(record, request.call.deadline)
     match result:
@@ -119,24 +127,45 @@
     """Call one endpoint not tried before; None if there is none."""
     usable = node.endpoints.usable(request.deployment, node.now())
     fresh = [endpoint for endpoint in usable if endpoint.host not in tried]
+    request_digest = _digest(request)
+    is_suspect = node.quarantine.is_suspect(request_digest)
+    if is_suspect:
+        fresh = node.router.without_suspects(fresh)
     key = f"{request.workspace}\0{request.call.path}"
     endpoint = node.router.choose(fresh, key)
     if endpoint is None:
         return None
     tried.add(endpoint.host)
     node.router.started(endpoint.host)
+    if is_suspect:
+        node.router.suspect_started(endpoint.host)
     try:
         result = await node.services.call(endpoint.url, request.call, node.now())
     finally:
         node.router.ended(endpoint.host)
+        if is_suspect:
+            node.router.suspect_ended(endpoint.host)
     if isinstance(result, Err):
         node.counters.increment(f"attempts.{result.err_value.name.lower()}")
         node.endpoints.failed(endpoint.host, node.now())
+        if result.err_value is AttemptFailure.CONNECTION_LOST:
+            note_loss(node, endpoint, request_digest)
     else:
         node.endpoints.succeeded(endpoint.host)
     return result
 
 
+def _digest(request: ServiceRequest) -> bytes:
+    """Identify a call by what an endpoint is sent, whoever sends it."""
+    call = request.call
+    return digest(request.deployment, call.method, call.path, call.query, call.body)
+
+
+def _refuse_quarantined(node: Node, request: ServiceRequest) -> None:
+    if node.quarantine.is_quarantined(_digest(request)):
+        raise ProblemError(quarantined())
+
+
 def _claim_record(node: Node, request: ServiceRequest) -> ClaimRecord:
     call = request.call
     key = request.idempotency_key or ""
--- a/src/amaranthhollow/gateway/stream_lookup.py
+++ b/src/amaranthhollow/gateway/stream_lookup.py
@@ -50,7 +50,7 @@
         stream.adopt(tail.events)
         self._streams.put(key_digest, stream)
         if tail.is_produced and not stream.is_ended:
-            stream.has_producer = True
+            stream.begin()
             task = asyncio.create_task(self._follow(peer, key_digest, stream))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -58,13 +58,15 @@
 
     async def _follow(self, peer: str, key_digest: bytes, stream: LiveStream) -> None:
         """Copy events from the peer until the stream is complete or it is lost."""
-        while not stream.is_ended:
+        while stream.is_growing:
             await asyncio.sleep(POLL_SECONDS)
             tail = await self._tail(peer, key_digest, stream.assembler.position)
             if tail is None:
-                stream.end()
+                stream.detach()
                 return
             stream.adopt(stream.assembler.emitted + tail.events)
+            if not tail.is_produced:
+                stream.detach()
 
     async def _tail(
         self, peer: str, key_digest: bytes, after_id: int
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import os
 from itertools import count
 
 import pytest
 
 from tests.site import Site, example_sources
 
-_networks = (f"127.{high}.{low}" for high in range(20, 250) for low in count(1))
+# Each test gets loopback addresses of its own, also beside other test processes.
+_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_networks = (f"127.{20 + _worker}.{low}" for low in count(1))
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/history.py
@@ -0,0 +1,129 @@
+"""Histories of concurrent filings, and the checks on them."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from tests.site import ADVISER_KEY
+
+if TYPE_CHECKING:
+    from tests.site import Site
+
+__all__ = ["Attempt", "History", "file_once", "file_randomly"]
+
+CALLER_TIMEOUT_SECONDS = 8.0
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One sending of a key: what was answered, or None if the caller got nothing."""
+
+    key: str
+    daemon: str
+    sent_at: float
+    answered_at: float
+    status: int | None = None
+    outcome: str | None = None
+    run: dict[str, Any] | None = None
+
+
+@dataclass
+class History:
+    """All attempts, and the runs that the services logged."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    runs_by_key: dict[str, list[dict]] = field(default_factory=dict)
+
+    async def collect(self, site: Site, services: list[str]) -> None:
+        runs_by_key = defaultdict(list)
+        for name in services:
+            for run in await site.get(f"{site.url(name)}/log"):
+                if run["key"]:
+                    runs_by_key[run["key"]].append(run)
+        self.runs_by_key = dict(runs_by_key)
+
+    def findings(self) -> list[str]:
+        """Return every violation, with its key."""
+        attempts_by_key = defaultdict(list)
+        for attempt in self.attempts:
+            attempts_by_key[attempt.key].append(attempt)
+        findings = []
+        for key, runs in self.runs_by_key.items():
+            if len(runs) > 1:
+                findings.append(f"{key}: {len(runs)} runs")
+        for key, attempts in attempts_by_key.items():
+            findings += _check_key(key, attempts, self.runs_by_key.get(key, []))
+        return findings
+
+    def count(self, outcome: str) -> int:
+        return sum(attempt.outcome == outcome for attempt in self.attempts)
+
+
+def _check_key(key: str, attempts: list[Attempt], runs: list[dict]) -> list[str]:
+    findings = []
+    for attempt in attempts:
+        if attempt.run is not None and attempt.run not in runs:
+            findings.append(f"{key}: answered with the run of another key")
+    may_have_run = [a for a in attempts if a.outcome != "not run"]
+    if runs and not may_have_run:
+        findings.append(f"{key}: told not run, and never sent again, but it ran")
+    for run in runs:
+        if not any(a.sent_at <= run["at"] <= a.answered_at for a in may_have_run):
+            findings.append(f"{key}: ran outside every attempt that may have run it")
+    return findings
+
+
+async def file_once(
+    site: Site, history: History, daemon: str, key: str, body: str = "form", **options
+) -> Attempt:
+    """Send one filing and note what came back."""
+    url = f"{site.url(daemon)}/services/filings/filings"
+    headers = {"Authorization": f"Bearer {ADVISER_KEY}", "Idempotency-Key": key}
+    sent_at = time.time()
+    attempt = Attempt(key, daemon, sent_at, math.inf)
+    timeout = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_SECONDS)
+    method = options.get("method", "POST")
+    try:
+        async with site.session.request(
+            method, url, data=body, headers=headers, timeout=timeout
+        ) as response:
+            document = await response.json(content_type=None)
+            attempt = Attempt(
+                key=key,
+                daemon=daemon,
+                sent_at=sent_at,
+                answered_at=time.time(),
+                status=response.status,
+                outcome=document.get("outcome"),
+                run=document if response.status == 201 else None,
+            )
+    except (aiohttp.ClientError, TimeoutError):
+        pass
+    history.attempts.append(attempt)
+    return attempt
+
+
+async def file_randomly(
+    site: Site, daemons: list[str], keys: int, callers: int, seed: int
+) -> History:
+    """Let callers send keys, each more than once, to daemons at random."""
+    history = History()
+    work = [f"{seed}-{number % keys}" for number in range(keys * 3)]
+    Random(seed).shuffle(work)
+
+    async def caller(number: int) -> None:
+        random = Random(seed * 1000 + number)
+        for key in work[number::callers]:
+            await file_once(site, history, random.choice(daemons), key)
+            await asyncio.sleep(random.uniform(0, 0.02))
+
+    await asyncio.gather(*(caller(number) for number in range(callers)))
+    return history
--- /dev/null
+++ b/tests/invariants/__init__.py
@@ -0,0 +1,1 @@
+"""What must always hold, brought about with real processes."""
