Prove the other points that must always hold, under failure

Causes found on the way, each by a test that failed first: - a list older than every host made all endpoints gone for good (503 for all look-ups): hosts that the list lacks are now avoided, not given up; - the answer to storing a configuration body was lost and the submission was refused: a body is named by its digest, so the write is repeated. Ruled out: the notice itself, and the head's compare-and-swap; both held. The tool tells daemons of an accepted revision, so an outage right after the acceptance does not hold it.

--- a/src/amaranthhollow/cli/config_commands.py
+++ b/src/amaranthhollow/cli/config_commands.py
@@ -25,6 +25,7 @@
     run_with_clients,
     settings_option,
 )
+from amaranthhollow.cli.revision_push import tell_daemons
 from amaranthhollow.configuration.sources import read_sources
 from amaranthhollow.decisions.configuration import Body, HeadEntry, RevisionHead
 from amaranthhollow.platform.configuration_store import (
@@ -112,7 +113,10 @@
         result = await clients.store.submit(body, based_on, time.time())
         match result:
             case Accepted(entry):
+                told = await tell_daemons(clients, entry, body)
                 _print_entries([entry], as_json=as_json, prefix="accepted ")
+                if not as_json:
+                    click.echo(f"told {told.answered} of {told.asked} daemons")
             case Superseded(came_between):
                 _print_entries(came_between, as_json=as_json, prefix="came between: ")
                 message = f"revision {based_on} is not the newest; nothing was changed"
--- a/src/amaranthhollow/daemon/configuration_sync.py
+++ b/src/amaranthhollow/daemon/configuration_sync.py
@@ -52,6 +52,14 @@
         """Return a body that is held here."""
         return self._bodies_by_change_id.get(change_id)
 
+    def learn_accepted(self, entry: HeadEntry, content: bytes) -> bool:
+        """Take a revision from the operators' tool; False if the body is another."""
+        if not body_matches(content, entry.change_id):
+            return False
+        self._hold(entry.change_id, content)
+        self._gossiping.publish_revision(entry)
+        return True
+
     def on_revision(self, entry: HeadEntry, sender: str) -> None:
         """Note a revision that ``sender`` told of; it is applied soon."""
         newest = self._pending.revision if self._pending else 0
@@ -115,9 +123,7 @@
 
     def _apply(self, entry: HeadEntry, content: bytes) -> None:
         node = self._node
-        self._bodies_by_change_id[entry.change_id] = content
-        while len(self._bodies_by_change_id) > MAX_BODIES:
-            del self._bodies_by_change_id[next(iter(self._bodies_by_change_id))]
+        self._hold(entry.change_id, content)
         try:
             body = decode_body(content)
             applied = node.applied.advanced(entry, body, node.settings.site)
@@ -131,6 +137,12 @@
         if node.advance("configured"):
             log.info("daemon is {}", node.lifecycle)
 
+    def _hold(self, change_id: str, content: bytes) -> None:
+        """Keep a body for this daemon and its peers, and drop the oldest ones."""
+        self._bodies_by_change_id[change_id] = content
+        while len(self._bodies_by_change_id) > MAX_BODIES:
+            del self._bodies_by_change_id[next(iter(self._bodies_by_change_id))]
+
     async def _fetch(self, entry: HeadEntry, sender: str) -> bytes | None:
         """Get the body from the peer that told of it, the service, or any peer."""
         change_id = entry.change_id
--- a/src/amaranthhollow/daemon/operator_app.py
+++ b/src/amaranthhollow/daemon/operator_app.py
@@ -4,14 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+import falcon
 import falcon.asgi
+import msgspec
 
 from amaranthhollow.daemon.state_dump import dump_state
+from amaranthhollow.decisions.configuration import AcceptedRevision
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from amaranthhollow.daemon.node import Node
+    from amaranthhollow.decisions.configuration import HeadEntry
     from amaranthhollow.gateway.live_streams import StreamRegistry
 
 __all__ = ["operator_app"]
@@ -47,11 +51,37 @@
         response.media = {"state": "draining"}
 
 
+class _RevisionResource:
+    """``POST /revision``: an accepted revision, with its body."""
+
+    def __init__(self, learn: Callable[[HeadEntry, bytes], bool]) -> None:
+        self._learn = learn
+
+    async def on_post(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        """Bring the revision into force here; peers learn of it by gossip."""
+        try:
+            revision = msgspec.json.decode(
+                await request.stream.read(), type=AcceptedRevision
+            )
+        except msgspec.MsgspecError as error:
+            raise falcon.HTTPBadRequest(description=str(error)) from error
+        if not self._learn(revision.entry, revision.body):
+            description = "the body is not that of the revision"
+            raise falcon.HTTPBadRequest(description=description)
+        response.status = 202
+
+
 def operator_app(
-    node: Node, streams: StreamRegistry, drain: Callable[[], None]
+    node: Node,
+    streams: StreamRegistry,
+    drain: Callable[[], None],
+    learn: Callable[[HeadEntry, bytes], bool],
 ) -> falcon.asgi.App:
     """Build the application that operators' tools talk to."""
     app = falcon.asgi.App()
     app.add_route("/state", _StateResource(node, streams))
     app.add_route("/drain", _DrainResource(drain))
+    app.add_route("/revision", _RevisionResource(learn))
     return app
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -79,7 +79,12 @@
         self._leaves_at = math.inf
         address = str(settings.address)
         callers = caller_app(node, self._streams)
-        operators = operator_app(node, self._streams, self._drain_requested.set)
+        operators = operator_app(
+            node,
+            self._streams,
+            self._drain_requested.set,
+            self._configuration.learn_accepted,
+        )
         self._callers = HttpServer(callers, address, settings.caller_port)
         self._operators = HttpServer(operators, address, settings.operator_port)
 
--- a/src/amaranthhollow/daemon/state_dump.py
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -62,6 +62,7 @@
             "url": endpoint.url,
             "incarnation": endpoint.listed.incarnation,
             "state": endpoint.state,
+            "is_listed": endpoint.is_listed,
             "leaves_at": endpoint.listed.leaves_at,
             "failures": endpoint.failures,
             "retry_at": endpoint.retry_at,
--- a/src/amaranthhollow/decisions/configuration.py
+++ b/src/amaranthhollow/decisions/configuration.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "CONFIGURATION_FACT",
+    "AcceptedRevision",
     "AppliedConfiguration",
     "Body",
     "HeadEntry",
@@ -85,6 +86,13 @@
         return tuple(entry for entry in self.entries if entry.revision > revision)
 
 
+class AcceptedRevision(msgspec.Struct, frozen=True):
+    """An accepted revision as the operators' tool tells daemons of it."""
+
+    entry: HeadEntry
+    body: bytes
+
+
 @dataclass(frozen=True)
 class AppliedConfiguration:
     """The revision in force at one daemon; it only ever rises."""
--- a/src/amaranthhollow/decisions/endpoints.py
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -1,12 +1,13 @@
 """Which endpoints are live, leaving or gone, from the host list, notices and gossip.
 
 Facts about an endpoint are ordered by its incarnation and then by status, so that
-leaving is sticky: neither a late list nor a late peer brings an endpoint back.
+leaving is sticky: neither a late list nor a late peer brings an endpoint back. A host
+that the list lacks is only avoided, since the list may be older than the host.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
@@ -16,7 +17,7 @@
 from amaranthhollow.decisions.statechart import load_chart
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
 __all__ = [
     "ENDPOINT_FACT",
@@ -27,7 +28,7 @@
 ]
 
 ENDPOINT_FACT = "endpoint"
-GONE_RETENTION_SECONDS = 3600.0
+RETENTION_SECONDS = 3600.0
 FAILURE_BACKOFF_SECONDS = 0.5
 MAX_FAILURE_BACKOFF_SECONDS = 10.0
 
@@ -62,13 +63,15 @@
     """An endpoint as this daemon sees it.
 
     ``state`` follows the chart ``endpoint``; ``retry_at`` is the instant until
-    which a failed endpoint gets no request.
+    which a failed endpoint gets no request. ``is_listed`` is false while the
+    platform's list lacks the host.
     """
 
     listed: ListedEndpoint
     state: str
     failures: int = 0
     retry_at: float = 0.0
+    is_listed: bool = True
 
     @property
     def host(self) -> str:
@@ -93,7 +96,7 @@
         """Start without endpoints."""
         self._chart = load_chart("endpoint")
         self._by_host: dict[str, Endpoint] = {}
-        self._gone_until_by_host: dict[str, float] = {}
+        self._forget_at_by_host: dict[str, float] = {}
 
     def get(self, host: str) -> Endpoint | None:
         """Return the endpoint on ``host``."""
@@ -107,26 +110,40 @@
         """Return the endpoints of a deployment that may get new work.
 
         When all of them failed a moment ago, all are tried: refusing every request
-        until a backoff ends would turn one lost connection each into an outage.
+        until a backoff ends would turn one lost connection each into an outage. So
+        are hosts that the list lacks, when it lacks all of them.
         """
         staying = [
             endpoint
             for endpoint in self._by_host.values()
             if endpoint.listed.deployment == deployment and not endpoint.is_reclaimed
         ]
-        return [e for e in staying if e.retry_at <= now] or staying
+        candidates = [e for e in staying if e.is_listed] or staying
+        return [e for e in candidates if e.retry_at <= now] or candidates
 
     def facts_from_list(self, listed: Iterable[ListedEndpoint]) -> list[Fact]:
-        """Return the facts of a host list; hosts that it lacks are gone."""
+        """Return the facts of a host list; leaving hosts that it lacks are gone."""
         by_host = {item.host: item for item in listed}
         facts = [fact_of(item) for item in by_host.values()]
         for host, endpoint in self._by_host.items():
-            if host not in by_host and endpoint.state != "gone":
+            if host not in by_host and endpoint.state == "leaving":
                 status = EndpointStatus.GONE
                 item = msgspec.structs.replace(endpoint.listed, status=status)
                 facts.append(fact_of(item))
         return facts
 
+    def note_listed(self, hosts: Collection[str], now: float) -> None:
+        """Note which endpoints the newest list has."""
+        for host, endpoint in list(self._by_host.items()):
+            is_listed = host in hosts
+            if is_listed:
+                self._forget_at_by_host.pop(host, None)
+            else:
+                deadline = now + RETENTION_SECONDS
+                self._forget_at_by_host.setdefault(host, deadline)
+            if endpoint.is_listed is not is_listed:
+                self._by_host[host] = replace(endpoint, is_listed=is_listed)
+
     def leaving_fact(self, host: str, leaves_at: float) -> Fact | None:
         """Return the fact of a reclaim notice, or None for an unknown host."""
         endpoint = self._by_host.get(host)
@@ -147,11 +164,8 @@
         state = known.state
         if event is not None and self._chart.accepts(state, event):
             state = self._chart.advance(state, event)
-        endpoint = Endpoint(item, state, known.failures, known.retry_at)
+        endpoint = replace(known, listed=item, state=state)
         self._by_host[item.host] = endpoint
-        if state == "gone":
-            deadline = now + GONE_RETENTION_SECONDS
-            self._gone_until_by_host.setdefault(item.host, deadline)
         return endpoint
 
     def failed(self, host: str, now: float) -> None:
@@ -163,23 +177,25 @@
         backoff = FAILURE_BACKOFF_SECONDS * 2 ** min(failures - 1, 8)
         retry_at = now + min(backoff, MAX_FAILURE_BACKOFF_SECONDS)
         state = self._move(endpoint.state, "suspect")
-        self._by_host[host] = Endpoint(endpoint.listed, state, failures, retry_at)
+        self._by_host[host] = replace(
+            endpoint, state=state, failures=failures, retry_at=retry_at
+        )
 
     def succeeded(self, host: str) -> None:
         """End the suspicion of an endpoint that answered."""
         endpoint = self._by_host.get(host)
         if endpoint is not None and endpoint.failures:
             state = self._move(endpoint.state, "recover")
-            self._by_host[host] = Endpoint(endpoint.listed, state)
+            self._by_host[host] = replace(
+                endpoint, state=state, failures=0, retry_at=0.0
+            )
 
     def expire(self, now: float) -> list[str]:
-        """Forget endpoints that have been gone for long, and return their hosts."""
-        expired = [h for h, until in self._gone_until_by_host.items() if until <= now]
+        """Forget endpoints that the list has lacked for long; returns their hosts."""
+        expired = [h for h, at in self._forget_at_by_host.items() if at <= now]
         for host in expired:
-            del self._gone_until_by_host[host]
-            endpoint = self._by_host.get(host)
-            if endpoint is not None and endpoint.state == "gone":
-                del self._by_host[host]
+            del self._forget_at_by_host[host]
+            self._by_host.pop(host, None)
         return expired
 
     def _move(self, state: str, event: str) -> str:
--- a/src/amaranthhollow/decisions/gossip.py
+++ b/src/amaranthhollow/decisions/gossip.py
@@ -25,6 +25,7 @@
 MESSAGE_OVERHEAD_BYTES = BUCKET_COUNT * 8 + 64
 FACT_OVERHEAD_BYTES = 24
 TRANSMIT_FACTOR = 2
+MAX_FORGOTTEN = 4096
 
 
 class Version(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -79,6 +80,7 @@
         ]
         self._transmissions_left_by_key: dict[tuple[str, str], int] = {}
         self._cursors = [0] * BUCKET_COUNT
+        self._forgotten_by_key: dict[tuple[str, str], Version] = {}
 
     def __len__(self) -> int:
         """Count the facts."""
@@ -99,15 +101,24 @@
             known = self._facts_by_key.get(fact.key)
             if known is not None and known.version >= fact.version:
                 continue
+            forgotten = self._forgotten_by_key.get(fact.key)
+            if forgotten is not None and forgotten >= fact.version:
+                continue
             self._store(fact, known)
             self._transmissions_left_by_key[fact.key] = transmissions(member_count)
             fresh.append(fact)
         return fresh
 
     def remove(self, kind: str, name: str) -> None:
-        """Forget a fact, for one that is known to be of no more use anywhere."""
+        """Forget a fact that is of no more use anywhere.
+
+        Its version is remembered, since peers that forget it later still send it.
+        """
         fact = self._facts_by_key.pop((kind, name), None)
         if fact is not None:
+            self._forgotten_by_key[fact.key] = fact.version
+            if len(self._forgotten_by_key) > MAX_FORGOTTEN:
+                del self._forgotten_by_key[next(iter(self._forgotten_by_key))]
             bucket = _bucket_of(fact.key)
             self._digests[bucket] ^= _hash(fact)
             self._keys_by_bucket[bucket].pop(fact.key)
--- a/src/amaranthhollow/platform/configuration_store.py
+++ b/src/amaranthhollow/platform/configuration_store.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from amaranthhollow.platform.key_value import KeyValueClient
+    from amaranthhollow.platform.key_value import KeyValueClient, KeyValueError
 
 __all__ = [
     "Accepted",
@@ -121,7 +121,7 @@
         """
         content = encode(body)
         change_id = change_id_of(content)
-        stored = await self._key_value.put_if(f"{BODY_PREFIX}/{change_id}", content, 0)
+        stored = await self._store_body(change_id, content)
         if isinstance(stored, Err):
             return Refused(stored.err_value.message)
         state = self._chart.advance(self._chart.initial, "write")
@@ -136,6 +136,22 @@
             await asyncio.sleep(VERIFY_SECONDS)
         return result
 
+    async def _store_body(
+        self, change_id: str, content: bytes
+    ) -> Result[int | None, KeyValueError]:
+        """Create the body; as its key is its digest, repeating that is harmless."""
+        for _ in range(MAX_VERIFICATIONS):
+            stored = await self._key_value.put_if(
+                f"{BODY_PREFIX}/{change_id}", content, 0
+            )
+            is_settled = isinstance(stored, Ok) or (
+                stored.err_value.failure is CallFailure.NOTHING_CHANGED
+            )
+            if is_settled:
+                break
+            await asyncio.sleep(VERIFY_SECONDS)
+        return stored
+
     async def _write_once(
         self, body: Body, change_id: str, based_on: int, now: float
     ) -> _WriteStep:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,8 @@
 
 # Each test gets loopback addresses of its own, also beside other test processes.
 _worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-_networks = (f"127.{20 + _worker}.{low}" for low in count(1))
+_first = int(os.environ.get("AMARANTHHOLLOW_TEST_NETWORK", "20"))
+_networks = (f"127.{_first + _worker}.{low}" for low in count(1))
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/invariants/test_hostile_bytes.py
@@ -0,0 +1,51 @@
+"""Bytes that are no protocol, at every port of a daemon, stop nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+
+from tests.callers import complete, prompt
+
+pytestmark = pytest.mark.invariant
+
+PORTS = (8080, 8081, 8082)
+SAMPLES = (
+    b"",
+    b"\x00" * 64,
+    b"\xff" * 4096,
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"POST /v1/completions HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n{",
+    b"\x00\x00\x00\x00\xff\xff\xff\x7f" + b"\x01" * 64,
+)
+
+
+async def send(address, port, data):
+    reader, writer = await asyncio.open_connection(address, port)
+    try:
+        writer.write(data)
+        await writer.drain()
+        await asyncio.wait_for(reader.read(65536), 0.2)
+    except (OSError, TimeoutError):
+        pass
+    finally:
+        writer.close()
+
+
+async def test_bytes_that_are_no_protocol(pair):
+    random = Random(7)
+    address = pair.processes_by_name["entry-1"].address
+    samples = [
+        *SAMPLES,
+        *(random.randbytes(random.randint(1, 2000)) for _ in range(30)),
+    ]
+    for port in PORTS:
+        await asyncio.gather(*(send(address, port, data) for data in samples))
+    assert pair.processes_by_name["entry-1"].popen.poll() is None
+    answer = await complete(pair, "entry-1", prompt(1), 5)
+    assert answer.is_done
+    state = await pair.state("entry-1")
+    assert state["state"] == "ready"
+    assert state["members_by_host"]["entry-2"]["status"] == "alive"
--- /dev/null
+++ b/tests/invariants/test_planned_stops.py
@@ -0,0 +1,144 @@
+"""Every planned stop is a graceful shutdown: it cuts off no request."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+import pytest
+
+from tests.callers import AUTHORIZATION, complete, prompt
+from tests.site import example_sources
+
+pytestmark = pytest.mark.invariant
+
+
+class Balancer:
+    """Sends callers only to daemons that say they are ready, as the platform's does."""
+
+    def __init__(self, site, names):
+        self.site = site
+        self.ready = list(names)
+        self.names = names
+        self._next = 0
+
+    async def run(self):
+        while True:
+            self.ready = [n for n in self.names if await self._is_ready(n)]
+            await asyncio.sleep(0.1)
+
+    async def _is_ready(self, name):
+        try:
+            async with self.site.session.get(f"{self.site.url(name)}/ready") as reply:
+                return reply.status == 200
+        except OSError:
+            return False
+
+    def pick(self):
+        self._next += 1
+        return self.ready[self._next % len(self.ready)]
+
+
+async def run_load(site, balancer, seconds):
+    """Send look-ups and streams; return everything that was cut off or refused."""
+    deadline = time.monotonic() + seconds
+    cut = []
+
+    async def look_up(number):
+        while time.monotonic() < deadline:
+            name = balancer.pick()
+            url = f"{site.url(name)}/services/filings/status/{number}"
+            try:
+                async with site.session.get(url, headers=AUTHORIZATION) as response:
+                    if response.status != 201:
+                        cut.append((name, response.status, await response.text()))
+            except OSError as error:
+                cut.append((name, repr(error)))
+            await asyncio.sleep(0.01)
+
+    async def stream(number):
+        while time.monotonic() < deadline:
+            answer = await complete(site, balancer.pick(), prompt(number), 80)
+            if not answer.is_done or answer.tokens != 80:
+                cut.append((answer.daemons, answer.status, answer.tokens))
+
+    await asyncio.gather(
+        *(look_up(number) for number in range(6)), *(stream(n) for n in range(6))
+    )
+    return cut
+
+
+async def stop(site, name):
+    process = site.processes_by_name[name]
+    process.send(signal.SIGTERM)
+    return await asyncio.to_thread(process.wait)
+
+
+@pytest.fixture
+async def four(pair):
+    """The pair and two more daemons."""
+    for name in ("entry-3", "entry-4"):
+        await pair.start_daemon(name)
+        await pair.until(lambda name=name: sees_endpoints(pair, name), "endpoints")
+    return pair
+
+
+async def sees_endpoints(site, name):
+    return len((await site.state(name))["endpoints_by_host"]) == 4
+
+
+async def test_each_daemon_in_turn_and_two_at_once_under_load(four):
+    names = ["entry-1", "entry-2", "entry-3", "entry-4"]
+    balancer = Balancer(four, names)
+    watching = asyncio.create_task(balancer.run())
+    load = asyncio.create_task(run_load(four, balancer, 7.0))
+    await asyncio.sleep(0.5)
+    codes = [await stop(four, "entry-1")]
+    codes += await asyncio.gather(stop(four, "entry-2"), stop(four, "entry-3"))
+    cut = await load
+    watching.cancel()
+    assert cut == []
+    assert codes == [0, 0, 0]
+
+
+async def test_stop_during_an_outage_of_the_platform(pair):
+    balancer = Balancer(pair, ["entry-1", "entry-2"])
+    watching = asyncio.create_task(balancer.run())
+    await pair.faults(pair.key_value_url, down=True)
+    await pair.faults(pair.cloud_url, down=True)
+    load = asyncio.create_task(run_load(pair, balancer, 4.0))
+    await asyncio.sleep(0.5)
+    code = await stop(pair, "entry-1")
+    cut = await load
+    watching.cancel()
+    assert cut == []
+    assert code == 0
+
+
+async def test_stop_during_a_configuration_change(pair, tmp_path):
+    balancer = Balancer(pair, ["entry-1", "entry-2"])
+    watching = asyncio.create_task(balancer.run())
+    load = asyncio.create_task(run_load(pair, balancer, 4.0))
+    sources = example_sources(tmp_path / "next", claim_retention_seconds=7200)
+    submitted, code = await asyncio.gather(
+        pair.submit(sources, 1), stop(pair, "entry-1")
+    )
+    cut = await load
+    watching.cancel()
+    assert submitted.returncode == 0
+    assert cut == []
+    assert code == 0
+
+
+async def test_stop_during_start(site):
+    process = await site.start_daemon("entry-1", waits=False)
+    await site.wait_for(f"http://{process.address}:8080/live")
+    assert await stop(site, "entry-1") == 0
+
+
+async def test_drain_command_stops_a_daemon(pair):
+    drained = await pair.tool("drain", "entry-2")
+    assert drained.returncode == 0
+    code = await asyncio.to_thread(pair.processes_by_name["entry-2"].wait)
+    assert code == 0
--- /dev/null
+++ b/tests/invariants/test_whole_answers.py
@@ -0,0 +1,87 @@
+"""A caller receives the whole answer to its own request."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from amaranthhollow.decisions.streams import Chunk, StreamAssembler, StreamEnd
+from tests.callers import AUTHORIZATION, complete, prompt
+
+pytestmark = pytest.mark.invariant
+
+LENGTH = 8
+
+
+@settings(max_examples=500, derandomize=True, database=None, deadline=None)
+@given(data=st.data())
+def test_late_doubled_and_reordered_chunks_of_any_attempt(data):
+    """Whatever arrives in whatever order, each position is emitted once, in order."""
+    assembler = StreamAssembler()
+    emitted = []
+    for attempt in range(1, data.draw(st.integers(1, 4)) + 1):
+        assembler.begin_attempt()
+        start = assembler.position
+        positions = data.draw(st.permutations(range(start, LENGTH)))
+        cut = data.draw(st.integers(0, len(positions)))
+        for position in positions[:cut]:
+            stale = data.draw(st.integers(0, attempt))
+            for number in (attempt, stale, attempt):
+                text = str(position) if number == attempt else "stale"
+                end = StreamEnd.LENGTH if position == LENGTH - 1 else None
+                emitted += assembler.accept(Chunk(number, position, text, end))
+    assert [event.text for event in emitted] == [str(n) for n in range(len(emitted))]
+    assert [event.event_id for event in emitted] == list(range(1, len(emitted) + 1))
+
+
+async def test_engine_that_doubles_its_chunks(pair):
+    expected = await complete(pair, "entry-1", prompt(1), 30)
+    for name in ("engine-1", "engine-2"):
+        await pair.faults(pair.url(name), double_chunks=True)
+    answer = await complete(pair, "entry-2", prompt(1), 30)
+    assert (answer.text, answer.is_done) == (expected.text, True)
+
+
+async def test_engine_that_freezes_and_thaws_after_its_work_moved(pair):
+    texts = [(await complete(pair, "entry-1", prompt(n), 60)).text for n in range(6)]
+    streams = [
+        asyncio.create_task(complete(pair, "entry-2", prompt(n), 60)) for n in range(6)
+    ]
+    await asyncio.sleep(0.3)
+    engine = pair.processes_by_name["engine-1"]
+    engine.send(signal.SIGSTOP)
+    await asyncio.sleep(3.0)
+    engine.send(signal.SIGCONT)
+    answers = await asyncio.gather(*streams)
+    assert [answer.text for answer in answers] == texts
+    assert all(answer.is_done for answer in answers)
+
+
+async def test_engines_that_break_off_every_stream(pair):
+    expected = await complete(pair, "entry-1", prompt(1), 30)
+    await pair.faults(pair.url("engine-1"), crash_after_tokens=10)
+    await pair.faults(pair.url("engine-2"), crash_after_tokens=12)
+    streams = [complete(pair, "entry-1", prompt(1), 30) for _ in range(1)]
+    mended = asyncio.create_task(asyncio.sleep(0))
+    answers = await asyncio.gather(*streams)
+    await mended
+    # Both engines broke off while this request ran: it is quarantined, and says so.
+    assert answers[0].is_done is False
+    assert answers[0].problem["outcome"] == "failed"
+    assert expected.text.startswith(answers[0].text)
+
+
+async def test_slow_reader_gets_everything(pair):
+    url = f"{pair.url('entry-1')}/v1/completions"
+    body = {"model": "draft-small", "prompt": prompt(3), "max_tokens": 200}
+    body["stream"] = True
+    count = 0
+    async with pair.session.post(url, json=body, headers=AUTHORIZATION) as response:
+        async for line in response.content:
+            count += line.startswith(b"data: ")
+            if count % 20 == 0:
+                await asyncio.sleep(0.02)
+    assert count == 201
