Send claims to the owner of their shard, and space its writes

Cause: every daemon wrote every shard. Change: claims go to the shard's rendezvous owner over the peer link, and to the service directly if it is silent, under the same claim identifier. A shard writes claims every 40 ms and outcomes alone every 100 ms at most; the head spills at 4 KB. A claim closed by its daemon is not written later by the owner. The owner answers repeats from outcomes not yet written.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from amaranthhollow.decisions.endpoints import EndpointTable, ListedEndpoint, fact_of
-from amaranthhollow.decisions.gossip import LOAD_FACT, Fact, Version, select_peers
+from amaranthhollow.decisions.gossip import LOAD_FACT, Fact, Version, choose_partners
 from amaranthhollow.decisions.limits import WorkspaceLimiter
 from amaranthhollow.decisions.membership import (
     DAEMON_FACT,
@@ -67,7 +67,8 @@
         for host, member in self.members.items():
             if host in self.lost:
                 continue
-            for peer in select_peers(member.peers, FANOUT, self.random.randrange):
+            lost = member.lost_hosts
+            for peer in choose_partners(member.peers, lost, FANOUT, self.random):
                 self._exchange(host, peer, now)
             member.expire(now)
 
--- a/src/amaranthhollow/daemon/gossiping.py
+++ b/src/amaranthhollow/daemon/gossiping.py
@@ -16,7 +16,7 @@
     Fact,
     GossipMessage,
     Version,
-    select_peers,
+    choose_partners,
 )
 from amaranthhollow.decisions.quarantine import CRASH_FACT
 from amaranthhollow.decisions.routing import LoadReport
@@ -54,7 +54,8 @@
     async def exchange_once(self) -> None:
         """Exchange with a few peers and expire suspicions."""
         node = self._node
-        peers = select_peers(node.membership.peers, FANOUT, node.random.randrange)
+        members = node.membership
+        peers = choose_partners(members.peers, members.lost_hosts, FANOUT, node.random)
         await asyncio.gather(*(self._exchange(peer) for peer in peers))
         for host in node.membership.expire(node.now()):
             node.counters.increment("members.lost")
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -24,6 +24,7 @@
     from amaranthhollow.endpoints.engine import EngineClient
     from amaranthhollow.endpoints.service import ServiceClient
     from amaranthhollow.peers.links import PeerLinks
+    from amaranthhollow.peers.shard_owners import ShardOwners
     from amaranthhollow.platform.claim_store import ClaimStore
     from amaranthhollow.platform.host_list import HostListClient
     from amaranthhollow.platform.key_value import KeyValueClient
@@ -40,7 +41,8 @@
     incarnation: int
     membership: Membership
     counters: Counters
-    claims: ClaimStore
+    claims: ShardOwners
+    claim_store: ClaimStore
     engines: EngineClient
     services: ServiceClient
     key_value: KeyValueClient
--- a/src/amaranthhollow/daemon/peer_handler.py
+++ b/src/amaranthhollow/daemon/peer_handler.py
@@ -5,13 +5,17 @@
 from typing import TYPE_CHECKING
 
 from amaranthhollow.gateway.live_streams import LiveStream
+from amaranthhollow.peers.claim_replies import reply_of
 from amaranthhollow.peers.stream_tails import StreamTail
 
 if TYPE_CHECKING:
     from amaranthhollow.daemon.configuration_sync import ConfigurationSync
     from amaranthhollow.daemon.gossiping import Gossiping
+    from amaranthhollow.decisions.claim_records import ClaimRecord
     from amaranthhollow.decisions.gossip import GossipMessage
     from amaranthhollow.gateway.live_streams import StreamRegistry
+    from amaranthhollow.peers.claim_replies import ClaimOutcome, ClaimReply
+    from amaranthhollow.platform.claim_store import ClaimStore
 
 __all__ = ["DaemonPeerHandler"]
 
@@ -24,8 +28,10 @@
         gossiping: Gossiping,
         configuration: ConfigurationSync,
         streams: StreamRegistry,
+        claims: ClaimStore,
     ) -> None:
         """Answer from these parts."""
+        self._claims = claims
         self._gossiping = gossiping
         self._configuration = configuration
         self._streams = streams
@@ -52,6 +58,14 @@
             stream.adopt(tail.events)
             self._streams.put(key_digest, stream)
 
+    async def claim(self, record: ClaimRecord, deadline: float) -> ClaimReply:
+        """Claim a key on behalf of a peer."""
+        return reply_of(await self._claims.claim(record, deadline))
+
+    def record_outcome(self, outcome: ClaimOutcome) -> None:
+        """Record the outcome of a peer's claim."""
+        self._claims.report(outcome)
+
 
 def tail_of(stream: LiveStream, after_id: int) -> StreamTail:
     """Return the events of ``stream`` after ``after_id``."""
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -32,6 +32,7 @@
 from amaranthhollow.gateway.live_streams import StreamRegistry
 from amaranthhollow.peers.links import PeerLinks
 from amaranthhollow.peers.server import serve_peers
+from amaranthhollow.peers.shard_owners import ShardOwners
 from amaranthhollow.platform.claim_store import ClaimStore
 from amaranthhollow.platform.configuration_store import ConfigurationStore
 from amaranthhollow.platform.host_list import HostListClient
@@ -48,6 +49,7 @@
 
 DRAIN_NOTICE_SECONDS = 1.0
 DRAIN_FLUSH_SECONDS = 5.0
+FLUSH_POLL_SECONDS = 0.02
 HANDOVER_SECONDS = 1.0
 STREAM_EXPIRY_SECONDS = 1.0
 
@@ -73,7 +75,7 @@
         node.settle_losses = self._gossiping.settle_losses
         self._discovery = Discovery(node, self._gossiping, self._on_reclaim)
         self._handler = DaemonPeerHandler(
-            self._gossiping, self._configuration, self._streams
+            self._gossiping, self._configuration, self._streams, node.claim_store
         )
         self._drain_requested = asyncio.Event()
         self._leaves_at = math.inf
@@ -131,12 +133,20 @@
         await self._gossiping.exchange_once()
         await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         await self._finish_requests()
-        is_flushed = await node.claims.flush(node.now() + DRAIN_FLUSH_SECONDS)
-        if not is_flushed:
-            log.warning("{} outcomes were not recorded", node.claims.unfinished)
+        await self._flush_outcomes()
         node.advance("drained")
         log.info("daemon is {}", node.lifecycle)
 
+    async def _flush_outcomes(self) -> None:
+        """Wait until every outcome is recorded, but not for ever."""
+        node = self._node
+        deadline = node.now() + DRAIN_FLUSH_SECONDS
+        while unfinished := node.claims.unfinished + node.claim_store.unfinished:
+            if node.now() >= deadline:
+                log.warning("{} outcomes were not recorded", unfinished)
+                return
+            await asyncio.sleep(FLUSH_POLL_SECONDS)
+
     async def _finish_requests(self) -> None:
         """Wait for every open request; hand streams over if the host is reclaimed."""
         stopping = asyncio.create_task(self._callers.stop())
@@ -177,17 +187,21 @@
         status=DaemonStatus.ALIVE,
     )
     key_value = KeyValueClient(session, str(settings.key_value_service))
+    membership = Membership(settings.host, incarnation, info)
+    claim_store = ClaimStore(key_value, time.time)
+    links = PeerLinks(settings.peer_port)
     return Node(
         settings=settings,
         incarnation=incarnation,
-        membership=Membership(settings.host, incarnation, info),
+        membership=membership,
         counters=Counters(settings.statsd, f"amaranthhollow.{settings.host}"),
-        claims=ClaimStore(key_value, time.time),
+        claims=ShardOwners(settings.host, claim_store, membership, links, time.time),
+        claim_store=claim_store,
         engines=EngineClient(session),
         services=ServiceClient(session),
         key_value=key_value,
         host_list=HostListClient(session, str(settings.host_list)),
-        links=PeerLinks(settings.peer_port),
+        links=links,
         random=Random(f"{settings.host}-{incarnation}"),
         applied=AppliedConfiguration(),
     )
--- a/src/amaranthhollow/decisions/claim_messages.py
+++ b/src/amaranthhollow/decisions/claim_messages.py
@@ -53,13 +53,18 @@
     IN_PROGRESS = "in progress"
     OUTCOME_UNKNOWN = "outcome unknown"
     REQUEST_DIFFERS = "request differs"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True)
 class ClaimRequested:
-    """A caller sent a non-idempotent request; ``record`` is its claim."""
+    """A caller sent a non-idempotent request; ``record`` is its claim.
+
+    ``is_doubtful``: another daemon was asked to write it, and may yet do so.
+    """
 
     record: ClaimRecord
+    is_doubtful: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/amaranthhollow/decisions/claim_shard.py
+++ b/src/amaranthhollow/decisions/claim_shard.py
@@ -7,6 +7,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from amaranthhollow.decisions.claim_records import (
     ClaimHead,
     ClaimRecord,
@@ -27,12 +29,13 @@
     "ShardView",
     "Spill",
     "apply_outcome",
+    "closed_record",
     "expired_answers",
     "plan_spill",
     "trim",
 ]
 
-MAX_HEAD_BYTES = 16_384
+MAX_HEAD_BYTES = 4_096
 MAX_SEGMENT_BYTES = 524_288
 SEGMENT_ID_BYTES = 12
 
@@ -157,15 +160,14 @@
     if not is_ours:
         return head
     others = (r for r in head.records if r.key_digest != claim.key_digest)
-    closed = ClaimRecord(
-        key_digest=claim.key_digest,
-        request_digest=claim.request_digest,
-        claim_id=claim.claim_id,
-        expires_at=claim.expires_at,
-        state=outcome.state,
-        answer=outcome.answer,
+    return ClaimHead((*others, closed_record(outcome)), head.segments)
+
+
+def closed_record(outcome: OutcomeReported) -> ClaimRecord:
+    """Return the record of a claim with its outcome."""
+    return msgspec.structs.replace(
+        outcome.record, state=outcome.state, answer=outcome.answer
     )
-    return ClaimHead(records=(*others, closed), segments=head.segments)
 
 
 def plan_spill(view: ShardView, head: ClaimHead) -> Spill | None:
--- a/src/amaranthhollow/decisions/claims.py
+++ b/src/amaranthhollow/decisions/claims.py
@@ -3,8 +3,8 @@
 A claim on the idempotency key must be durable in the platform's key-value
 service before the request goes to an endpoint. The claims of a shard lie in one
 head value under compare-and-swap; all claims and outcomes that wait while a
-write is under way go out together in the next one. The order of writes decides
-between daemons, so no daemon owns a shard.
+write is under way, or for the next one to be due, go out together. The order of
+writes decides between daemons: a shard's owner only spares them conflicts.
 """
 
 from __future__ import annotations
@@ -50,6 +50,7 @@
     ShardView,
     Spill,
     apply_outcome,
+    closed_record,
     expired_answers,
     plan_spill,
     trim,
@@ -68,6 +69,8 @@
 ]
 
 BACKOFF_SECONDS = 0.5
+CLAIM_WRITE_INTERVAL_SECONDS = 0.04
+OUTCOME_WRITE_INTERVAL_SECONDS = 0.1
 
 
 class Phase(Enum):
@@ -107,6 +110,13 @@
     doubtful: frozenset[str] = frozenset()
     spill: Spill | None = None
     retry_at: float = 0.0
+    claims_due_at: float = 0.0
+    outcomes_due_at: float = 0.0
+
+    @property
+    def due_at(self) -> float:
+        """The instant from which the next write may go out."""
+        return self.claims_due_at if self.waiting else self.outcomes_due_at
 
 
 @dataclass(frozen=True)
@@ -124,8 +134,8 @@
 def step(state: ShardState, event: Event, now: float) -> Step:
     """Apply ``event`` at the instant ``now``, in seconds since the Unix epoch."""
     match event:
-        case ClaimRequested(record):
-            return _request(state, record, now)
+        case ClaimRequested():
+            return _request(state, event, now)
         case ClaimWithdrawn(record):
             return _proceed(_withdraw(state, record), now)
         case OutcomeReported():
@@ -148,9 +158,14 @@
             return _proceed(state, now)
 
 
-def _request(state: ShardState, record: ClaimRecord, now: float) -> Step:
+def _request(state: ShardState, event: ClaimRequested, now: float) -> Step:
+    record = event.record
+    if event.is_doubtful:
+        state = replace(state, doubtful=state.doubtful | {record.claim_id})
     if now < state.retry_at:
-        return Step(state, (_unavailable(record),))
+        if event.is_doubtful:
+            state = _close_as_not_run(state, record)
+        return Step(state, (_unavailable(record), WakeAt(state.retry_at)))
     waiting = (*state.waiting, WaitingClaim(record))
     return _proceed(replace(state, waiting=waiting), now)
 
@@ -209,6 +224,8 @@
         state,
         phase=Phase.IDLE,
         view=state.view.moved_to(batch.head, revision),
+        claims_due_at=now + CLAIM_WRITE_INTERVAL_SECONDS,
+        outcomes_due_at=now + OUTCOME_WRITE_INTERVAL_SECONDS,
         batch=None,
         doubtful=state.doubtful - granted,
         spill=None,
@@ -273,9 +290,12 @@
     resolved = _resolve(state)
     if resolved.state.view is None:
         return resolved.then(_proceed(resolved.state, now))
-    if not (resolved.state.waiting or resolved.state.outcomes):
+    state = resolved.state
+    if not (state.waiting or state.outcomes):
         return resolved
-    return resolved.then(_write(resolved.state, now))
+    if now < state.due_at:
+        return resolved.then(Step(state, (WakeAt(state.due_at),)))
+    return resolved.then(_write(state, now))
 
 
 def _resolve(state: ShardState) -> Step:
@@ -285,10 +305,13 @@
     claimed: set[bytes] = set()
     for waiting in state.waiting:
         record = waiting.record
-        known = state.view.find(record.key_digest)
+        known = _find(state, record.key_digest)
         if record.key_digest in claimed:
             reason = RefusalReason.IN_PROGRESS
             actions.append(RefuseClaim(record.claim_id, reason))
+        elif known is not None and _is_withdrawn(known, record):
+            reason = RefusalReason.WITHDRAWN
+            actions.append(RefuseClaim(record.claim_id, reason))
         elif known is None or known.is_open_for_claim:
             claimed.add(record.key_digest)
             unknown.append(waiting)
@@ -308,6 +331,22 @@
     return Step(state, tuple(actions))
 
 
+def _find(state: ShardState, key_digest: bytes) -> ClaimRecord | None:
+    """Return the newest record of a key, with an outcome that is not written yet."""
+    known = state.view.find(key_digest)
+    if known is None or known.state is not ClaimState.CLAIMED:
+        return known
+    for outcome in state.outcomes:
+        if outcome.record.claim_id == known.claim_id:
+            return closed_record(outcome)
+    return known
+
+
+def _is_withdrawn(known: ClaimRecord, record: ClaimRecord) -> bool:
+    """Tell whether this very claim was closed, by the daemon that asked for it."""
+    return known.claim_id == record.claim_id and known.is_open_for_claim
+
+
 def _answer_repeat(record: ClaimRecord, known: ClaimRecord) -> Action:
     if known.request_digest != record.request_digest:
         return RefuseClaim(record.claim_id, RefusalReason.REQUEST_DIFFERS)
--- a/src/amaranthhollow/decisions/gossip.py
+++ b/src/amaranthhollow/decisions/gossip.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
+    from random import Random
 
 __all__ = [
     "BUCKET_COUNT",
@@ -38,6 +39,7 @@
 FACT_OVERHEAD_BYTES = 24
 TRANSMIT_FACTOR = 2
 MAX_FORGOTTEN = 4096
+LOST_TRY_PROBABILITY = 0.1
 
 
 class Version(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -230,6 +232,20 @@
     return chosen
 
 
+def choose_partners(
+    peers: list[str], lost: list[str], fanout: int, random: Random
+) -> list[str]:
+    """Choose whom to exchange with next: some peers, and now and then a lost one.
+
+    Regions that lose each other take each other's daemons as lost; only such a try
+    shows that they are back.
+    """
+    chosen = select_peers(peers, fanout, random.randrange)
+    if lost and random.random() < LOST_TRY_PROBABILITY:
+        chosen.append(random.choice(lost))
+    return chosen
+
+
 def _bucket_of(key: tuple[str, str]) -> int:
     return blake2b("\0".join(key).encode(), digest_size=2).digest()[0] % BUCKET_COUNT
 
--- a/src/amaranthhollow/decisions/membership.py
+++ b/src/amaranthhollow/decisions/membership.py
@@ -76,6 +76,15 @@
         """Hosts of the other daemons that are not lost."""
         return [host for host in self.hosts if host != self._host]
 
+    @property
+    def lost_hosts(self) -> list[str]:
+        """Hosts of lost daemons; they are tried now and then, after a parting."""
+        return [
+            host
+            for host, info in self._infos_by_host.items()
+            if info.status is DaemonStatus.LOST
+        ]
+
     def info(self, host: str) -> DaemonInfo | None:
         """Return what is known of the daemon on ``host``."""
         return self._infos_by_host.get(host)
--- a/src/amaranthhollow/gateway/service_calls.py
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -114,7 +114,7 @@
         else:
             state = ClaimState.NOT_RUN
     finally:
-        node.claims.report(record, state, answer)
+        await node.claims.report(record, state, answer)
         node.counters.increment(f"claims.{state.name.lower()}")
     is_not_run = state is ClaimState.NOT_RUN
     outcome = Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
@@ -179,7 +179,7 @@
 
 
 async def _replay(node: Node, original: ClaimRecord) -> ServiceAnswer:
-    recorded = await node.claims.recorded_answer(original)
+    recorded = await node.claim_store.recorded_answer(original)
     if isinstance(recorded, Err):
         raise ProblemError(
             Problem(
--- /dev/null
+++ b/src/amaranthhollow/peers/claim_replies.py
@@ -0,0 +1,53 @@
+"""Claims and their results as daemons pass them to a shard's owner."""
+
+from __future__ import annotations
+
+import msgspec
+
+from amaranthhollow.decisions.claim_messages import (
+    GrantClaim,
+    RefusalReason,
+    RefuseClaim,
+    ReplayAnswer,
+)
+from amaranthhollow.decisions.claim_records import Answer, ClaimRecord, ClaimState
+
+__all__ = ["ClaimOutcome", "ClaimReply", "ClaimResult", "read_reply", "reply_of"]
+
+ClaimResult = GrantClaim | RefuseClaim | ReplayAnswer
+
+
+class ClaimReply(msgspec.Struct, frozen=True, array_like=True):
+    """The result of a claim: granted, refused for a reason, or answered before."""
+
+    claim_id: str
+    refusal: RefusalReason | None = None
+    original: ClaimRecord | None = None
+
+
+class ClaimOutcome(msgspec.Struct, frozen=True, array_like=True):
+    """The outcome of a granted claim."""
+
+    record: ClaimRecord
+    state: ClaimState
+    answer: Answer | None = None
+
+
+def reply_of(result: ClaimResult) -> ClaimReply:
+    """Return ``result`` as it is sent."""
+    match result:
+        case GrantClaim(claim_id):
+            return ClaimReply(claim_id)
+        case RefuseClaim(claim_id, reason):
+            return ClaimReply(claim_id, refusal=reason)
+        case ReplayAnswer(claim_id, original):
+            return ClaimReply(claim_id, original=original)
+
+
+def read_reply(reply: ClaimReply) -> ClaimResult:
+    """Return the result that was sent."""
+    if reply.refusal is not None:
+        return RefuseClaim(reply.claim_id, reply.refusal)
+    if reply.original is not None:
+        return ReplayAnswer(reply.claim_id, reply.original)
+    return GrantClaim(reply.claim_id)
--- a/src/amaranthhollow/peers/peer.capnp
+++ b/src/amaranthhollow/peers/peer.capnp
@@ -32,4 +32,11 @@
 
   # Hands over the emitted part of a stream whose daemon is shutting down.
   adoptStream @3 (keyDigest :Data, tail :StreamTail) -> ();
+
+  # Claims a key on behalf of the caller's daemon: MessagePack of a ClaimRecord in,
+  # of a ClaimReply out.
+  claim @4 (record :Data, deadline :Float64) -> (reply :Data);
+
+  # Records the outcome of a claim: MessagePack of a ClaimOutcome.
+  recordOutcome @5 (outcome :Data) -> ();
 }
--- a/src/amaranthhollow/peers/server.py
+++ b/src/amaranthhollow/peers/server.py
@@ -7,7 +7,9 @@
 import capnp
 import msgspec
 
+from amaranthhollow.decisions.claim_records import ClaimRecord
 from amaranthhollow.decisions.gossip import GossipMessage
+from amaranthhollow.peers.claim_replies import ClaimOutcome, ClaimReply
 from amaranthhollow.peers.schema import PeerInterface
 from amaranthhollow.peers.stream_tails import StreamTail, read_tail, tail_fields
 
@@ -29,6 +31,12 @@
         def adopt_stream(self, key_digest: bytes, tail: StreamTail) -> None:
             """Keep the emitted part of a stream for a caller who reconnects."""
 
+        async def claim(self, record: ClaimRecord, deadline: float) -> ClaimReply:
+            """Claim a key on behalf of a peer."""
+
+        def record_outcome(self, outcome: ClaimOutcome) -> None:
+            """Record the outcome of a peer's claim."""
+
 
 __all__ = ["serve_peers"]
 
@@ -64,6 +72,19 @@
         params = context.params
         self._handler.adopt_stream(bytes(params.keyDigest), read_tail(params.tail))
 
+    async def claim(
+        self, record: Any, deadline: float, _context: Any, **_: Any
+    ) -> bytes:
+        decoded = msgspec.msgpack.decode(bytes(record), type=ClaimRecord)
+        reply = await self._handler.claim(decoded, deadline)
+        return msgspec.msgpack.encode(reply)
+
+    async def recordOutcome(  # noqa: N802
+        self, outcome: Any, _context: Any, **_: Any
+    ) -> None:
+        decoded = msgspec.msgpack.decode(bytes(outcome), type=ClaimOutcome)
+        self._handler.record_outcome(decoded)
+
 
 async def serve_peers(handler: PeerHandler, address: str, port: int) -> Any:
     """Listen for peers; bytes that are no Cap'n Proto end their connection only."""
--- /dev/null
+++ b/src/amaranthhollow/peers/shard_owners.py
@@ -0,0 +1,134 @@
+"""Sends claims to the owner of their shard, and claims here if it is silent.
+
+Which daemon owns a shard follows from the members that each daemon knows. Two
+daemons may take themselves for the owner; the service's compare-and-swap decides
+between their writes, so ownership only spares conflicts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from amaranthhollow.decisions.claim_messages import RefusalReason, RefuseClaim
+from amaranthhollow.decisions.claim_records import shard_of
+from amaranthhollow.decisions.rendezvous import owner
+from amaranthhollow.peers.claim_replies import ClaimOutcome, ClaimReply, read_reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from amaranthhollow.decisions.claim_records import (
+        Answer,
+        ClaimRecord,
+        ClaimState,
+    )
+    from amaranthhollow.decisions.membership import Membership
+    from amaranthhollow.peers.claim_replies import ClaimResult
+    from amaranthhollow.peers.links import PeerLinks
+    from amaranthhollow.platform.claim_store import ClaimStore
+
+__all__ = ["ShardOwners"]
+
+OWNER_TIMEOUT_SECONDS = 0.5
+OUTCOME_TIMEOUT_SECONDS = 1.0
+REPORT_WAIT_SECONDS = 0.05
+
+
+class ShardOwners:
+    """Claims keys through the owners of their shards."""
+
+    def __init__(
+        self,
+        host: str,
+        store: ClaimStore,
+        membership: Membership,
+        links: PeerLinks,
+        clock: Callable[[], float],
+    ) -> None:
+        """Claim on behalf of the daemon on ``host``."""
+        self._host = host
+        self._store = store
+        self._membership = membership
+        self._links = links
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def unfinished(self) -> int:
+        """Outcomes on their way to an owner."""
+        return len(self._tasks)
+
+    async def claim(self, record: ClaimRecord, deadline: float) -> ClaimResult:
+        """Claim a key; on GrantClaim, and only then, the request may be sent.
+
+        The claim keeps its identifier when it is made here after the owner did
+        not answer, so it is granted once whichever write lands.
+        """
+        address = self._owner_address(record)
+        if address is None:
+            return await self._store.claim(record, deadline)
+        content = msgspec.msgpack.encode(record)
+        time_left = max(0.0, deadline - self._clock())
+        reply = await self._links.call(
+            address,
+            lambda peer: peer.claim(content, deadline),
+            min(OWNER_TIMEOUT_SECONDS, time_left),
+        )
+        result = _decode(reply)
+        if isinstance(result, Ok) and not _may_retry(result.ok_value):
+            return result.ok_value
+        return await self._store.claim(record, deadline, is_doubtful=True)
+
+    async def report(
+        self, record: ClaimRecord, state: ClaimState, answer: Answer | None = None
+    ) -> None:
+        """Record the outcome of a granted claim.
+
+        Returns when the owner knows it, so that a repeat of the key gets the answer;
+        a slow owner is not waited for, and the outcome is recorded all the same.
+        """
+        task = asyncio.get_running_loop().create_task(
+            self._report(ClaimOutcome(record, state, answer))
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.wait({task}, timeout=REPORT_WAIT_SECONDS)
+
+    async def _report(self, outcome: ClaimOutcome) -> None:
+        prepared = await self._store.prepare(outcome)
+        address = self._owner_address(outcome.record)
+        if address is not None:
+            content = msgspec.msgpack.encode(prepared)
+            reply = await self._links.call(
+                address,
+                lambda peer: peer.recordOutcome(content),
+                OUTCOME_TIMEOUT_SECONDS,
+            )
+            if isinstance(reply, Ok):
+                return
+        self._store.report(prepared)
+
+    def _owner_address(self, record: ClaimRecord) -> str | None:
+        """Return the address of the owner, or None if it is this daemon."""
+        name = f"shard-{shard_of(record.key_digest)}"
+        host = owner(name, self._membership.active_hosts)
+        if host is None or host == self._host:
+            return None
+        info = self._membership.info(host)
+        return info.address if info is not None else None
+
+
+def _decode(reply: Result) -> Result[ClaimResult, str]:
+    if isinstance(reply, Err):
+        return reply
+    content = bytes(reply.ok_value.reply)
+    return Ok(read_reply(msgspec.msgpack.decode(content, type=ClaimReply)))
+
+
+def _may_retry(result: ClaimResult) -> bool:
+    """Tell whether this daemon should try itself: the owner closed the claim."""
+    return isinstance(result, RefuseClaim) and result.reason is RefusalReason.WITHDRAWN
--- a/src/amaranthhollow/platform/claim_store.py
+++ b/src/amaranthhollow/platform/claim_store.py
@@ -39,7 +39,6 @@
     Answer,
     ClaimHead,
     ClaimRecord,
-    ClaimState,
     decode_head,
     decode_segment,
     encode_head,
@@ -52,18 +51,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from amaranthhollow.peers.claim_replies import ClaimOutcome, ClaimResult
     from amaranthhollow.platform.key_value import KeyValueClient, KeyValueError
 
-__all__ = ["ClaimResult", "ClaimStore"]
+__all__ = ["ClaimStore"]
 
 CLAIM_TIMEOUT_SECONDS = 2.0
 MAX_INLINE_ANSWER_BYTES = 2048
 MAX_STORED_ANSWER_BYTES = 900_000
-FLUSH_POLL_SECONDS = 0.02
 PREFIX = "amaranthhollow/claims"
 
-ClaimResult = GrantClaim | RefuseClaim | ReplayAnswer
-
 
 class ClaimStore:
     """Claims on idempotency keys, durable in the key-value service."""
@@ -85,13 +82,18 @@
         """Return the state of a shard's writer, for the dump."""
         return self._states_by_shard.get(shard, ShardState())
 
-    async def claim(self, record: ClaimRecord, deadline: float) -> ClaimResult:
-        """Claim a key; on GrantClaim, and only then, the request may be sent."""
+    async def claim(
+        self, record: ClaimRecord, deadline: float, *, is_doubtful: bool = False
+    ) -> ClaimResult:
+        """Claim a key; on GrantClaim, and only then, the request may be sent.
+
+        ``is_doubtful``: another daemon was asked first and may write the claim.
+        """
         future: asyncio.Future[ClaimResult]
         future = asyncio.get_running_loop().create_future()
         self._results_by_claim_id[record.claim_id] = future
         shard = shard_of(record.key_digest)
-        self._apply(shard, ClaimRequested(record))
+        self._apply(shard, ClaimRequested(record, is_doubtful))
         timeout = max(0.0, min(CLAIM_TIMEOUT_SECONDS, deadline - self._clock()))
         try:
             async with asyncio.timeout(timeout):
@@ -105,11 +107,18 @@
         finally:
             self._results_by_claim_id.pop(record.claim_id, None)
 
-    def report(
-        self, record: ClaimRecord, state: ClaimState, answer: Answer | None = None
-    ) -> None:
-        """Record the outcome of a granted claim in the background."""
-        self._start(self._report(record, state, answer))
+    def report(self, outcome: ClaimOutcome) -> None:
+        """Record the outcome of a granted claim; it was prepared before."""
+        event = OutcomeReported(outcome.record, outcome.state, outcome.answer)
+        self._apply(shard_of(outcome.record.key_digest), event)
+
+    async def prepare(self, outcome: ClaimOutcome) -> ClaimOutcome:
+        """Store a large answer apart, so that the outcome is small."""
+        answer = outcome.answer
+        if answer is None or len(answer.body) <= MAX_INLINE_ANSWER_BYTES:
+            return outcome
+        stored = await self._store_answer(outcome.record, answer)
+        return msgspec.structs.replace(outcome, answer=stored)
 
     async def recorded_answer(self, original: ClaimRecord) -> Result[Answer, str]:
         """Return the answer of a claim, from its own value if it is large."""
@@ -125,21 +134,6 @@
             return Err("the recorded answer has expired")
         return Ok(msgspec.structs.replace(answer, body=entry.ok_value.value))
 
-    async def flush(self, deadline: float) -> bool:
-        """Wait until every outcome is durable; False if the deadline came first."""
-        while self.unfinished:
-            if self._clock() >= deadline:
-                return False
-            await asyncio.sleep(FLUSH_POLL_SECONDS)
-        return True
-
-    async def _report(
-        self, record: ClaimRecord, state: ClaimState, answer: Answer | None
-    ) -> None:
-        if answer is not None and len(answer.body) > MAX_INLINE_ANSWER_BYTES:
-            answer = await self._store_answer(record, answer)
-        self._apply(shard_of(record.key_digest), OutcomeReported(record, state, answer))
-
     async def _store_answer(self, record: ClaimRecord, answer: Answer) -> Answer | None:
         """Store a large answer apart; None if that cannot be done."""
         if len(answer.body) > MAX_STORED_ANSWER_BYTES:
--- a/tests/decisions/claims_model.py
+++ b/tests/decisions/claims_model.py
@@ -69,6 +69,7 @@
     granted: dict[str, ClaimRecord] = field(default_factory=dict)
     ran: dict[str, ClaimRecord] = field(default_factory=dict)
     wake_at: float | None = None
+    forwarded: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True)
@@ -90,7 +91,9 @@
         self.result_by_claim_id: dict[str, object] = {}
         self._claims = 0
 
-    def request(self, daemon: Daemon, key: str, body: str = "body") -> ClaimRecord:
+    def request(
+        self, daemon: Daemon, key: str, body: str = "body", *, is_doubtful: bool = False
+    ) -> ClaimRecord:
         self._claims += 1
         record = ClaimRecord(
             key_digest=digest(key),
@@ -99,9 +102,18 @@
             expires_at=self.now + RETENTION_SECONDS,
         )
         daemon.undecided[record.claim_id] = record
-        self._apply(daemon, ClaimRequested(record))
+        self._apply(daemon, ClaimRequested(record, is_doubtful))
         return record
 
+    def ask_owner(self, daemon: Daemon, owner: Daemon, key: str) -> None:
+        """Ask another daemon to claim; its answer is lost, and it is asked here.
+
+        Whatever the owner decides reaches nobody.
+        """
+        record = self.request(daemon, key, is_doubtful=True)
+        owner.forwarded.add(record.claim_id)
+        self._apply(owner, ClaimRequested(record))
+
     def withdraw(self, daemon: Daemon, record: ClaimRecord) -> None:
         del daemon.undecided[record.claim_id]
         self.result_by_claim_id[record.claim_id] = "withdrawn"
@@ -173,7 +185,7 @@
 
     def settle(self) -> None:
         """Let a healthy service answer everything that is under way."""
-        for _ in range(3):
+        for _ in range(6):
             while any(map(self._advance, self.daemons)):
                 pass
             self.pass_time(1.0)
@@ -220,6 +232,8 @@
             self._take(daemon, action)
 
     def _take(self, daemon: Daemon, action: object) -> None:
+        if getattr(action, "claim_id", None) in daemon.forwarded:
+            return
         match action:
             case GrantClaim(claim_id):
                 self._decide(claim_id, action)
@@ -233,7 +247,7 @@
                 answers = [r.answer for r in self.runs_by_key[record.key_digest]]
                 assert original.answer in answers, "an answer of no run of this key"
             case WakeAt(at):
-                daemon.wake_at = at
+                daemon.wake_at = min(at, daemon.wake_at or at)
             case LoadHead() | LoadSegments() | WriteSegment() | WriteHead():
                 assert daemon.call is None, "two calls under way"
                 assert daemon.reply is None, "a call before the last answer"
--- a/tests/decisions/test_claims.py
+++ b/tests/decisions/test_claims.py
@@ -54,6 +54,12 @@
         self.model.request(daemon, key)
         self.model.finish_calls(daemon)
 
+    @rule(index=INDEX, other=INDEX, key=KEYS)
+    def ask_owner(self, index, other, key):
+        daemons = self.model.daemons
+        if index != other:
+            self.model.ask_owner(daemons[index], daemons[other], key)
+
     @rule(index=INDEX, key=KEYS)
     def serve(self, index, key):
         daemon = self.model.daemons[index]
@@ -138,7 +144,7 @@
             assert not daemon.state.outcomes, "an outcome that is not recorded"
 
 
-@pytest.mark.parametrize("max_head_bytes", [16_384, 120])
+@pytest.mark.parametrize("max_head_bytes", [4_096, 120])
 def test_no_interleaving_runs_a_key_twice(monkeypatch, max_head_bytes):
     monkeypatch.setattr(claim_shard, "MAX_HEAD_BYTES", max_head_bytes)
     profile = settings(
@@ -198,6 +204,19 @@
     assert isinstance(result(model, repeat), ReplayAnswer)
 
 
+def test_repeat_gets_an_answer_that_is_not_written_yet(model):
+    daemon = model.daemons[0]
+    record = model.request(daemon, "k1")
+    model.settle()
+    model.request(daemon, "k2")
+    model.finish_calls(daemon)
+    model.run(daemon, record)
+    model.report(daemon, record, is_answered=True)
+    assert daemon.state.outcomes
+    repeat = model.request(daemon, "k1")
+    assert isinstance(result(model, repeat), ReplayAnswer)
+
+
 def test_repeat_while_the_first_runs_is_refused(model):
     first, second = model.daemons
     model.request(first, "k1")
@@ -256,6 +275,18 @@
     assert result(model, repeat) == GrantClaim(repeat.claim_id)
 
 
+def test_claim_closed_by_its_daemon_is_not_written_by_the_owner_later(model):
+    daemon, owner = model.daemons
+    model.request(owner, "k2")
+    model.ask_owner(daemon, owner, "k1")
+    model.withdraw(daemon, next(iter(daemon.undecided.values())))
+    model.finish_calls(daemon)
+    model.settle()
+    repeat = model.request(daemon, "k1")
+    model.settle()
+    assert result(model, repeat) == GrantClaim(repeat.claim_id)
+
+
 def test_outage_refuses_every_waiting_claim_at_once(model):
     daemon = model.daemons[0]
     records = [model.request(daemon, f"k{number}") for number in range(3)]
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -11,6 +11,7 @@
     Fact,
     GossipTable,
     Version,
+    choose_partners,
     select_peers,
 )
 from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
@@ -87,8 +88,11 @@
 
 
 def exchange(first, second, now):
-    second.merge(first.table.message().facts, now)
-    first.merge(second.table.message().facts, now)
+    request = first.table.message()
+    second.merge(request.facts, now)
+    reply = second.table.message(request)
+    first.merge(reply.facts, now)
+    second.merge(first.table.message(reply).facts, now)
 
 
 def test_suspected_daemon_refutes_and_stays():
@@ -120,6 +124,24 @@
     assert group["h0"].info("h1").status is DaemonStatus.ALIVE
 
 
+def test_parted_regions_become_members_of_each_other_again():
+    group = members(6)
+    random = Random(3)
+    for number in range(200):
+        is_parted = number < 60
+        for host, member in group.items():
+            partners = choose_partners(member.peers, member.lost_hosts, 2, random)
+            for partner in partners:
+                if is_parted and (host < "h3") != (partner < "h3"):
+                    member.exchange_failed(partner, float(number))
+                else:
+                    exchange(member, group[partner], float(number))
+            member.expire(float(number))
+        if number == 59:
+            assert all(len(member.hosts) == 3 for member in group.values())
+    assert all(len(member.hosts) == 6 for member in group.values())
+
+
 def test_drained_daemon_that_no_longer_answers_is_lost_at_once():
     group = members(2)
     group["h1"].drain()
