Stop watching the key-value service when other daemons do

Cause: at its start a daemon knows only itself and watches the service. It looked again whether it should only when the head changed, so every daemon went on watching: 9 of 9 and 27 of 27 waiting watches, each a call. Ruled out: the choice of watchers; three in line is what each computes. The stand-in also kept counting watchers that had gone; it no longer does. Change: a watch ends within half a second once others are in line. Before: the new test fails (not three watches in 6 s). After: three watches at 9 and at 27 daemons (python -m benchmarks.idle_site).

--- /dev/null
+++ b/benchmarks/idle_site.py
@@ -0,0 +1,68 @@
+"""What a site of idle daemons costs: processor time, memory, platform calls."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from benchmarks.processes import cpu_seconds, resident_megabytes
+from tests.site import Site, example_sources
+
+__all__: list[str] = []
+
+DAEMON_COUNTS = (3, 9, 27)
+SETTLE_SECONDS = 4.0
+MEASURED_SECONDS = 8.0
+
+
+async def measure(count: int) -> None:
+    """Print what ``count`` daemons cost while they only keep in step."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with Site(Path(folder), "127.16.1") as site:
+            names = [f"entry-{number}" for number in range(count)]
+            for name in names:
+                await site.start_daemon(name, waits=False)
+            await site.submit(example_sources(Path(folder) / "config"), 0)
+            await asyncio.gather(
+                *(site.wait_for(f"{site.url(name)}/ready") for name in names)
+            )
+            await asyncio.sleep(SETTLE_SECONDS)
+            await report(site, names)
+
+
+async def report(site: Site, names: list[str]) -> None:
+    """Print processor time, memory, gossip and calls over a while."""
+    pids = [site.processes_by_name[name].popen.pid for name in names]
+    before = sum(map(cpu_seconds, pids))
+    counts_before = await site.get(f"{site.key_value_url}/counts")
+    gossip_before = await gossip_bytes(site, names)
+    await asyncio.sleep(MEASURED_SECONDS)
+    used = (sum(map(cpu_seconds, pids)) - before) / len(names) / MEASURED_SECONDS
+    counts = await site.get(f"{site.key_value_url}/counts")
+    gossip = (await gossip_bytes(site, names) - gossip_before) / len(names)
+    calls = sum(counts["calls_by_kind"].values())
+    calls -= sum(counts_before["calls_by_kind"].values())
+    memory = max(map(resident_megabytes, pids))
+    print(
+        f"{len(names):3} daemons: {100 * used:.2f}% of a core, {memory:.0f} MB each, "
+        f"gossip {2 * gossip / MEASURED_SECONDS / 1000:.2f} KB/s in and out each, "
+        f"key-value service {calls / MEASURED_SECONDS:.2f} calls/s "
+        f"and {counts['watching']} waiting watches in all"
+    )
+
+
+async def gossip_bytes(site: Site, names: list[str]) -> int:
+    """Return the gossip payload of all exchanges that the daemons started."""
+    states = [await site.state(name) for name in names]
+    return sum(state["counters_by_name"].get("gossip.bytes", 0) for state in states)
+
+
+async def main() -> None:
+    """Measure the sizes named on the command line, or the usual ones."""
+    for count in [int(n) for n in sys.argv[1:]] or DAEMON_COUNTS:
+        await measure(count)
+
+
+asyncio.run(main())
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import tempfile
 import time
 from pathlib import Path
 from statistics import median, quantiles
 from typing import TYPE_CHECKING
 
+from benchmarks.processes import cpu_seconds
 from tests.callers import AUTHORIZATION
 from tests.site import Site, example_sources
 
@@ -21,13 +21,6 @@
 ROUNDS = 8
 CALLERS = 8
 TOKENS = 100
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-
-
-def cpu_seconds(pid: int) -> float:
-    """Return the processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
 async def timed_stream(
--- a/src/amaranthhollow/daemon/configuration_sync.py
+++ b/src/amaranthhollow/daemon/configuration_sync.py
@@ -79,13 +79,19 @@
         """Watch the service if this daemon is one of the watchers."""
         while True:
             if self._is_watcher():
-                await self.read_head()
-                async for head in self._store.watch_head():
-                    self._learn(head)
-                    if not self._is_watcher():
-                        break
+                watching = asyncio.create_task(self._watch())
+                while self._is_watcher() and not watching.done():
+                    await asyncio.wait({watching}, timeout=WATCH_RETRY_SECONDS)
+                watching.cancel()
+                await asyncio.wait({watching})
             await asyncio.sleep(WATCH_RETRY_SECONDS)
 
+    async def _watch(self) -> None:
+        """Learn every new head until the connection ends."""
+        await self.read_head()
+        async for head in self._store.watch_head():
+            self._learn(head)
+
     async def run_check(self) -> None:
         """Read the head now and then, in case a watch fell silent."""
         while True:
--- a/tests/invariants/test_configuration.py
+++ b/tests/invariants/test_configuration.py
@@ -58,6 +58,17 @@
     assert time.monotonic() - accepted_at < LIMIT_SECONDS
 
 
+async def test_only_some_daemons_watch_the_service(pair):
+    """At the start each daemon knows only itself, and watches; that has to end."""
+    for number in range(3, 7):
+        await pair.start_daemon(f"entry-{number}")
+    await pair.until(lambda: three_watch(pair), "three daemons watch", LIMIT_SECONDS)
+
+
+async def three_watch(pair):
+    return (await pair.get(f"{pair.key_value_url}/counts"))["watching"] == 3
+
+
 async def test_operators_race_and_the_loser_sees_what_came_between(pair, tmp_path):
     results = await asyncio.gather(
         *(pair.submit(sources(tmp_path, number), 1) for number in range(4))
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -150,7 +150,7 @@
         watchers = self._watchers_by_key.setdefault(key, set())
         watchers.add(queue)
         try:
-            while not (self.faults["down"] or self.faults["refuse_connections"]):
+            while self._serves(request):
                 try:
                     line = await asyncio.wait_for(queue.get(), 0.1)
                 except TimeoutError:
@@ -160,6 +160,11 @@
             watchers.discard(queue)
         return response
 
+    def _serves(self, request: web.Request) -> bool:
+        """Tell whether the watcher is still there and the service is up."""
+        is_up = not (self.faults["down"] or self.faults["refuse_connections"])
+        return is_up and request.transport is not None
+
     async def _counts(self, request: web.Request) -> web.Response:
         return web.json_response(
             {
