Keep suspected requests apart across daemons

Cause: suspects were kept apart within one daemon only. With two daemons an innocent suspect ran beside the cause at its second crash and was quarantined by the daemon that had not heard of the other's evidence. Ruled out: the count of crashes; the verdict rule is right once all evidence is known. Waiting for it alone is not enough: the cause then crashed up to four engines before a verdict. Change: the owner of an endpoint lets one suspect of all daemons run there at a time. Evidence is pushed to up to 16 peers at once, and the verdict waits 0.9 s for theirs. The retry budget's floor is 20.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -8,6 +8,7 @@
 
 import heapq
 import sys
+import time
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
@@ -69,6 +70,7 @@
     reads: int = 0
     bytes_written: int = 0
     bytes_read: int = 0
+    seconds: float = 0.0
     waits: list[float] = field(default_factory=list)
 
 
@@ -131,7 +133,9 @@
 
     def _apply(self, daemon: str, shard: int, event: object) -> None:
         state = self._states.get((daemon, shard), ShardState())
+        started_at = time.process_time()
         result = step(state, event, self.now)
+        self.counts.seconds += time.process_time() - started_at
         self._states[daemon, shard] = result.state
         for action in result.actions:
             self._take(daemon, shard, action)
@@ -194,7 +198,8 @@
         f"{counts.bytes_written / seconds / 1000:8.1f} KB/s written "
         f"{counts.bytes_read / seconds / 1000:8.1f} KB/s read; "
         f"granted {len(counts.waits) / seconds:.0f}/s, "
-        f"wait median {median(waits):.1f} p95 {quantiles(waits, n=20)[-1]:.1f} ms"
+        f"wait median {median(waits):.1f} p95 {quantiles(waits, n=20)[-1]:.1f} ms, "
+        f"decisions {1e6 * counts.seconds / max(1, len(counts.waits)):.0f} us a claim"
     )
 
 
--- a/src/amaranthhollow/daemon/gossiping.py
+++ b/src/amaranthhollow/daemon/gossiping.py
@@ -17,8 +17,9 @@
     GossipMessage,
     Version,
     choose_partners,
+    select_peers,
 )
-from amaranthhollow.decisions.quarantine import CRASH_FACT
+from amaranthhollow.decisions.quarantine import CRASH_FACT, VERDICT_SECONDS
 from amaranthhollow.decisions.routing import LoadReport
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 
 EXCHANGE_SECONDS = 0.5
 FANOUT = 2
+MAX_PUSHED = 16
 
 log = logbook.Logger("gossip")
 _decoder = msgspec.msgpack.Decoder(GossipMessage)
@@ -44,6 +46,7 @@
         """Call ``on_revision`` with each newer revision and the peer that told."""
         self._node = node
         self._on_revision = on_revision
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Exchange with a few peers at each interval, until cancelled."""
@@ -71,7 +74,12 @@
         """Publish what lost connections say about the requests that were running."""
         node = self._node
         reclaimed = [e.host for e in node.endpoints.all() if e.is_reclaimed]
-        self.publish(node.quarantine.settle(reclaimed, node.now()))
+        evidence = node.quarantine.settle(reclaimed, node.now())
+        self.publish(evidence)
+        if evidence:
+            task = asyncio.get_running_loop().create_task(self._push())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def receive(self, message: GossipMessage) -> GossipMessage:
         """Take in a peer's message and return the reply."""
@@ -100,6 +108,12 @@
         value = msgspec.json.encode(entry)
         self.publish([Fact(CONFIGURATION_FACT, "head", version, value)])
 
+    async def _push(self) -> None:
+        """Exchange at once with as many peers as may be asked together."""
+        node = self._node
+        peers = select_peers(node.membership.peers, MAX_PUSHED, node.random.randrange)
+        await asyncio.gather(*(self._exchange(peer) for peer in peers))
+
     async def _exchange(self, host: str) -> None:
         node = self._node
         info = node.membership.info(host)
@@ -132,8 +146,12 @@
         node = self._node
         digest = node.quarantine.apply(fact).request_digest
         node.counters.increment("quarantine.evidence")
-        if node.quarantine.is_quarantined(digest):
-            node.counters.increment("quarantine.requests")
+        loop = asyncio.get_running_loop()
+        loop.call_later(VERDICT_SECONDS, self._note_verdict, digest)
+
+    def _note_verdict(self, digest: bytes) -> None:
+        if self._node.quarantine.is_quarantined(digest, self._node.now()):
+            self._node.counters.increment("quarantine.requests")
             log.warning("request {} is quarantined", digest.hex())
 
     def _apply_endpoint(self, fact: Fact) -> None:
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from amaranthhollow.decisions.endpoints import EndpointTable
 from amaranthhollow.decisions.limits import WorkspaceLimiter
-from amaranthhollow.decisions.quarantine import Quarantine
+from amaranthhollow.decisions.quarantine import Quarantine, SuspectSlots
 from amaranthhollow.decisions.retries import RetryBudget
 from amaranthhollow.decisions.routing import Router
 from amaranthhollow.decisions.statechart import load_chart
@@ -54,10 +55,12 @@
     router: Router = field(default_factory=Router)
     limiter: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    suspect_slots: SuspectSlots = field(default_factory=SuspectSlots)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     settle_losses: Callable[[], None] = lambda: None
     lifecycle: str = load_chart("daemon").initial
     open_requests: int = 0
+    requests_by_state: Counter[str] = field(default_factory=Counter)
     claim_sequence: int = 0
 
     @property
--- a/src/amaranthhollow/daemon/peer_handler.py
+++ b/src/amaranthhollow/daemon/peer_handler.py
@@ -11,11 +11,11 @@
 if TYPE_CHECKING:
     from amaranthhollow.daemon.configuration_sync import ConfigurationSync
     from amaranthhollow.daemon.gossiping import Gossiping
+    from amaranthhollow.daemon.node import Node
     from amaranthhollow.decisions.claim_records import ClaimRecord
     from amaranthhollow.decisions.gossip import GossipMessage
     from amaranthhollow.gateway.live_streams import StreamRegistry
     from amaranthhollow.peers.claim_replies import ClaimOutcome, ClaimReply
-    from amaranthhollow.platform.claim_store import ClaimStore
 
 __all__ = ["DaemonPeerHandler"]
 
@@ -28,10 +28,10 @@
         gossiping: Gossiping,
         configuration: ConfigurationSync,
         streams: StreamRegistry,
-        claims: ClaimStore,
+        node: Node,
     ) -> None:
         """Answer from these parts."""
-        self._claims = claims
+        self._node = node
         self._gossiping = gossiping
         self._configuration = configuration
         self._streams = streams
@@ -60,11 +60,20 @@
 
     async def claim(self, record: ClaimRecord, deadline: float) -> ClaimReply:
         """Claim a key on behalf of a peer."""
-        return reply_of(await self._claims.claim(record, deadline))
+        return reply_of(await self._node.claim_store.claim(record, deadline))
 
     def record_outcome(self, outcome: ClaimOutcome) -> None:
         """Record the outcome of a peer's claim."""
-        self._claims.report(outcome)
+        self._node.claim_store.report(outcome)
+
+    def acquire_suspect_slot(self, host: str, request_digest: bytes) -> bool:
+        """Let a suspected request run at an endpoint, if no other does."""
+        node = self._node
+        return node.suspect_slots.acquire(host, request_digest, node.now())
+
+    def release_suspect_slot(self, host: str, request_digest: bytes) -> None:
+        """Note that a suspected request no longer runs at an endpoint."""
+        self._node.suspect_slots.release(host, request_digest)
 
 
 def tail_of(stream: LiveStream, after_id: int) -> StreamTail:
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -75,7 +75,7 @@
         node.settle_losses = self._gossiping.settle_losses
         self._discovery = Discovery(node, self._gossiping, self._on_reclaim)
         self._handler = DaemonPeerHandler(
-            self._gossiping, self._configuration, self._streams, node.claim_store
+            self._gossiping, self._configuration, self._streams, node
         )
         self._drain_requested = asyncio.Event()
         self._leaves_at = math.inf
--- a/src/amaranthhollow/daemon/state_dump.py
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -26,6 +26,7 @@
         "state": node.lifecycle,
         "now": node.now(),
         "open_requests": node.open_requests,
+        "requests_by_state": dict(node.requests_by_state),
         "configuration": {
             "revision": node.applied.revision,
             "change_id": node.applied.change_id,
@@ -44,7 +45,7 @@
         "claims_by_shard": {
             str(shard): _shard(node, shard) for shard in range(SHARD_COUNT)
         },
-        "quarantined": [d.hex() for d in node.quarantine.quarantined()],
+        "quarantined": [d.hex() for d in node.quarantine.quarantined(node.now())],
         "streams": len(streams),
         "facts": len(node.membership.table),
         "retry_budget": node.retry_budget.tokens,
--- a/src/amaranthhollow/decisions/quarantine.py
+++ b/src/amaranthhollow/decisions/quarantine.py
@@ -3,7 +3,8 @@
 Whatever was running at an endpoint when it crashed is a suspect. A suspect that is
 running at another crash is quarantined, unless another earlier suspect was running
 there too: then either may be the cause, and both go on as suspects. The evidence is
-a set of facts that only grows, so all daemons come to the same verdict.
+a set of facts that only grows, so all daemons come to the same verdict. The verdict
+waits until the evidence of other daemons on the same crash has had time to arrive.
 """
 
 from __future__ import annotations
@@ -18,10 +19,20 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["CRASH_FACT", "SETTLE_SECONDS", "Evidence", "Quarantine"]
+__all__ = [
+    "CRASH_FACT",
+    "SETTLE_SECONDS",
+    "VERDICT_SECONDS",
+    "Evidence",
+    "Quarantine",
+    "SuspectSlot",
+    "SuspectSlots",
+]
 
 CRASH_FACT = "crash"
 SETTLE_SECONDS = 0.3
+VERDICT_SECONDS = 0.9
+SLOT_SECONDS = 60.0
 EVIDENCE_RETENTION_SECONDS = 3600.0
 DATA_CENTRE_LOSS_ENDPOINTS = 2
 
@@ -48,6 +59,14 @@
     settles_at: float
 
 
+@dataclass(frozen=True)
+class SuspectSlot:
+    """The suspect that may run at an endpoint, until the slot lapses."""
+
+    request_digest: bytes
+    lapses_at: float
+
+
 class Quarantine:
     """The evidence that one daemon knows."""
 
@@ -61,18 +80,19 @@
         """Tell whether the request was running at any crash."""
         return request_digest in self._by_request
 
-    def is_quarantined(self, request_digest: bytes) -> bool:
+    def is_quarantined(self, request_digest: bytes, now: float) -> bool:
         """Tell whether the request is the only earlier suspect of a later crash."""
         crashes = self._by_request.get(request_digest, {})
         return any(
-            self._has_earlier(request_digest, evidence.at)
+            evidence.at + VERDICT_SECONDS <= now
+            and self._has_earlier(request_digest, evidence.at)
             and not self._has_other_suspect(evidence)
             for evidence in crashes.values()
         )
 
-    def quarantined(self) -> list[bytes]:
+    def quarantined(self, now: float) -> list[bytes]:
         """Return the digests of all quarantined requests."""
-        return [digest for digest in self._by_request if self.is_quarantined(digest)]
+        return [d for d in self._by_request if self.is_quarantined(d, now)]
 
     def connection_lost(
         self,
@@ -82,10 +102,15 @@
         data_centre: str,
         now: float,
     ) -> float:
-        """Note a connection lost without a notice; returns when it is settled."""
+        """Note a connection lost without a notice.
+
+        Returns the instant from which the request may be tried again.
+        """
         evidence = Evidence(request_digest, f"{host}@{incarnation}", now)
         settles_at = now + SETTLE_SECONDS
         self._losses.append(_Loss(evidence, host, data_centre, settles_at))
+        if self.is_suspect(request_digest):
+            return now + VERDICT_SECONDS
         return settles_at
 
     def settle(self, reclaimed: Iterable[str], now: float) -> list[Fact]:
@@ -140,6 +165,33 @@
         )
 
 
+class SuspectSlots:
+    """Lets one suspect at a time run at each endpoint that this daemon owns.
+
+    Without it two daemons send suspects to one endpoint, and its next crash tells
+    nothing about either. A slot lapses by itself if its daemon is lost.
+    """
+
+    def __init__(self) -> None:
+        """Start with every slot free."""
+        self._taken_by_host: dict[str, SuspectSlot] = {}
+
+    def acquire(self, host: str, request_digest: bytes, now: float) -> bool:
+        """Take the slot of an endpoint for a request, or for it once more."""
+        taken = self._taken_by_host.get(host)
+        is_free = taken is None or taken.lapses_at <= now
+        if not is_free and taken.request_digest != request_digest:
+            return False
+        self._taken_by_host[host] = SuspectSlot(request_digest, now + SLOT_SECONDS)
+        return True
+
+    def release(self, host: str, request_digest: bytes) -> None:
+        """Free the slot if the request still holds it."""
+        taken = self._taken_by_host.get(host)
+        if taken is not None and taken.request_digest == request_digest:
+            del self._taken_by_host[host]
+
+
 def _discard(index: dict, outer: bytes | str, inner: bytes | str) -> None:
     index[outer].pop(inner, None)
     if not index[outer]:
--- a/src/amaranthhollow/decisions/retries.py
+++ b/src/amaranthhollow/decisions/retries.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["AttemptFailure", "Outcome", "RetryBudget", "outcome_of"]
+__all__ = ["AttemptFailure", "Outcome", "RetryBudget"]
 
 BUDGET_RATIO = 0.1
-BUDGET_FLOOR = 10.0
+BUDGET_FLOOR = 20.0
 BUDGET_CEILING = 100.0
 
 
@@ -29,16 +29,6 @@
     TIMED_OUT = "timed out"
 
 
-def outcome_of(failure: AttemptFailure, *, is_idempotent: bool) -> Outcome:
-    """Return what may be said after the last attempt failed.
-
-    Only an attempt that sent no byte is known not to have run.
-    """
-    if failure is AttemptFailure.NOT_CONNECTED:
-        return Outcome.NOT_RUN
-    return Outcome.FAILED if is_idempotent else Outcome.UNKNOWN
-
-
 @dataclass(frozen=True)
 class RetryBudget:
     """Bounds retries to a share of the requests, whichever layer asks for them.
--- a/src/amaranthhollow/decisions/routing.py
+++ b/src/amaranthhollow/decisions/routing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -49,7 +48,6 @@
     def __init__(self) -> None:
         """Start without load."""
         self._loads_by_host: dict[str, Load] = {}
-        self._suspects_by_host: Counter[str] = Counter()
 
     def load(self, host: str) -> Load:
         """Return what is known of the load of an endpoint."""
@@ -75,18 +73,6 @@
         """Forget an endpoint that is gone."""
         self._loads_by_host.pop(host, None)
 
-    def suspect_started(self, host: str) -> None:
-        """Count a suspected request sent to an endpoint."""
-        self._suspects_by_host[host] += 1
-
-    def suspect_ended(self, host: str) -> None:
-        """Count a suspected request that an endpoint is done with."""
-        self._suspects_by_host[host] -= 1
-
-    def without_suspects(self, endpoints: Collection[Endpoint]) -> list[Endpoint]:
-        """Return the endpoints at which no suspected request runs from here."""
-        return [e for e in endpoints if not self._suspects_by_host[e.host]]
-
     def choose(
         self, endpoints: Collection[Endpoint], key: str, tried: Collection[str] = ()
     ) -> Endpoint | None:
--- /dev/null
+++ b/src/amaranthhollow/gateway/lifecycle.py
@@ -0,0 +1,43 @@
+"""Follows requests through the chart ``request``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from amaranthhollow.decisions.retries import Outcome
+from amaranthhollow.decisions.statechart import load_chart
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.node import Node
+
+__all__ = ["RequestLifecycle"]
+
+_EVENTS_BY_OUTCOME = {
+    Outcome.NOT_RUN: "refuse",
+    Outcome.UNKNOWN: "doubt",
+    Outcome.FAILED: "fail",
+}
+
+
+class RequestLifecycle:
+    """The state of one request; open ones are counted by state for the dump."""
+
+    def __init__(self, node: Node) -> None:
+        """Count a request that was received."""
+        self._node = node
+        self._chart = load_chart("request")
+        self.state = self._chart.initial
+        node.requests_by_state[self.state] += 1
+
+    def advance(self, event: str) -> None:
+        """Move on; an event that the chart does not accept is a defect."""
+        before, self.state = self.state, self._chart.advance(self.state, event)
+        self._node.requests_by_state[before] -= 1
+        if self.state in self._chart.finals:
+            self._node.counters.increment(f"requests.{self.state}")
+        else:
+            self._node.requests_by_state[self.state] += 1
+
+    def end(self, outcome: Outcome) -> None:
+        """End without an answer."""
+        self.advance(_EVENTS_BY_OUTCOME[outcome])
--- a/src/amaranthhollow/gateway/service_calls.py
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -20,16 +20,19 @@
     ClaimState,
     digest,
 )
-from amaranthhollow.decisions.quarantine import SETTLE_SECONDS
+from amaranthhollow.decisions.quarantine import SETTLE_SECONDS, VERDICT_SECONDS
 from amaranthhollow.decisions.retries import AttemptFailure, Outcome
 from amaranthhollow.endpoints.service import ServiceAnswer
 from amaranthhollow.gateway.losses import note_loss
 from amaranthhollow.gateway.model_calls import quarantined
 from amaranthhollow.gateway.problems import Problem, ProblemError
+from amaranthhollow.gateway.suspects import suspect_slot
 
 if TYPE_CHECKING:
     from amaranthhollow.daemon.node import Node
+    from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.endpoints.service import ServiceCall
+    from amaranthhollow.gateway.lifecycle import RequestLifecycle
 
 __all__ = ["ServiceRequest", "call_idempotent", "call_once"]
 
@@ -46,7 +49,9 @@
     idempotency_key: str | None
 
 
-async def call_idempotent(node: Node, request: ServiceRequest) -> ServiceAnswer:
+async def call_idempotent(
+    node: Node, request: ServiceRequest, lifecycle: RequestLifecycle
+) -> ServiceAnswer:
     """Call a service, trying other endpoints as far as the retry budget goes."""
     failure = AttemptFailure.NOT_CONNECTED
     tried: set[str] = set()
@@ -56,11 +61,13 @@
         if attempt and not node.may_retry():
             break
         if failure is AttemptFailure.CONNECTION_LOST:
-            await asyncio.sleep(SETTLE_SECONDS)
-        result = await _attempt(node, request, tried)
+            is_suspect = node.quarantine.is_suspect(_digest(request))
+            await asyncio.sleep(VERDICT_SECONDS if is_suspect else SETTLE_SECONDS)
+        result = await _attempt(node, request, tried, lifecycle)
         if result is None:
             break
         if isinstance(result, Ok):
+            lifecycle.advance("answer")
             return result.ok_value
         failure = result.err_value
         has_run = has_run or failure is not AttemptFailure.NOT_CONNECTED
@@ -70,24 +77,33 @@
     raise ProblemError(_unanswered(node, request, failure, outcome))
 
 
-async def call_once(node: Node, request: ServiceRequest) -> ServiceAnswer:
+async def call_once(
+    node: Node, request: ServiceRequest, lifecycle: RequestLifecycle
+) -> ServiceAnswer:
     """Call a service at most once for the request's idempotency key."""
     _refuse_quarantined(node, request)
+    lifecycle.advance("claim")
     record = _claim_record(node, request)
     result = await node.claims.claim(record, request.call.deadline)
     match result:
         case GrantClaim():
-            return await _run_claimed(node, request, record)
+            lifecycle.advance("grant")
+            return await _run_claimed(node, request, record, lifecycle)
         case ReplayAnswer(_, original):
             node.counters.increment("claims.replayed")
-            return await _replay(node, original)
+            answer = await _replay(node, original)
+            lifecycle.advance("replay")
+            return answer
         case RefuseClaim(_, reason):
             node.counters.increment(f"claims.refused.{reason.name.lower()}")
             raise ProblemError(_refusal(node, reason))
 
 
 async def _run_claimed(
-    node: Node, request: ServiceRequest, record: ClaimRecord
+    node: Node,
+    request: ServiceRequest,
+    record: ClaimRecord,
+    lifecycle: RequestLifecycle,
 ) -> ServiceAnswer:
     """Send a claimed call; try another endpoint only if no byte was sent."""
     failure = AttemptFailure.NOT_CONNECTED
@@ -99,13 +115,14 @@
             if node.now() >= request.call.deadline:
                 state = ClaimState.NOT_RUN
                 break
-            result = await _attempt(node, request, tried)
+            result = await _attempt(node, request, tried, lifecycle)
             if result is None:
                 state = ClaimState.NOT_RUN
                 break
             if isinstance(result, Ok):
                 reply = result.ok_value
                 state = ClaimState.ANSWERED
+                lifecycle.advance("answer")
                 answer = Answer(reply.status, reply.content_type, reply.body)
                 return reply
             failure = result.err_value
@@ -122,36 +139,42 @@
 
 
 async def _attempt(
-    node: Node, request: ServiceRequest, tried: set[str]
+    node: Node,
+    request: ServiceRequest,
+    tried: set[str],
+    lifecycle: RequestLifecycle,
 ) -> Result[ServiceAnswer, AttemptFailure] | None:
     """Call one endpoint not tried before; None if there is none."""
     usable = node.endpoints.usable(request.deployment, node.now())
     fresh = [endpoint for endpoint in usable if endpoint.host not in tried]
-    request_digest = _digest(request)
-    is_suspect = node.quarantine.is_suspect(request_digest)
-    if is_suspect:
-        fresh = node.router.without_suspects(fresh)
     key = f"{request.workspace}\0{request.call.path}"
     endpoint = node.router.choose(fresh, key)
     if endpoint is None:
         return None
     tried.add(endpoint.host)
+    lifecycle.advance("dispatch")
+    async with suspect_slot(node, endpoint, _digest(request)) as is_held:
+        if not is_held:
+            return Err(AttemptFailure.NOT_CONNECTED)
+        return await _send(node, request, endpoint)
+
+
+async def _send(
+    node: Node, request: ServiceRequest, endpoint: Endpoint
+) -> Result[ServiceAnswer, AttemptFailure]:
+    """Call an endpoint and note what that says about it."""
     node.router.started(endpoint.host)
-    if is_suspect:
-        node.router.suspect_started(endpoint.host)
     try:
         result = await node.services.call(endpoint.url, request.call, node.now())
     finally:
         node.router.ended(endpoint.host)
-        if is_suspect:
-            node.router.suspect_ended(endpoint.host)
-    if isinstance(result, Err):
-        node.counters.increment(f"attempts.{result.err_value.name.lower()}")
-        node.endpoints.failed(endpoint.host, node.now())
-        if result.err_value is AttemptFailure.CONNECTION_LOST:
-            note_loss(node, endpoint, request_digest)
-    else:
+    if isinstance(result, Ok):
         node.endpoints.succeeded(endpoint.host)
+        return result
+    node.counters.increment(f"attempts.{result.err_value.name.lower()}")
+    node.endpoints.failed(endpoint.host, node.now())
+    if result.err_value is AttemptFailure.CONNECTION_LOST:
+        note_loss(node, endpoint, _digest(request))
     return result
 
 
@@ -162,7 +185,7 @@
 
 
 def _refuse_quarantined(node: Node, request: ServiceRequest) -> None:
-    if node.quarantine.is_quarantined(_digest(request)):
+    if node.quarantine.is_quarantined(_digest(request), node.now()):
         raise ProblemError(quarantined())
 
 
--- a/src/amaranthhollow/gateway/service_resource.py
+++ b/src/amaranthhollow/gateway/service_resource.py
@@ -6,8 +6,9 @@
 
 from amaranthhollow.configuration.model import ServiceDeployment
 from amaranthhollow.endpoints.service import ServiceCall
+from amaranthhollow.gateway.lifecycle import RequestLifecycle
 from amaranthhollow.gateway.model_resource import admit
-from amaranthhollow.gateway.problems import invalid
+from amaranthhollow.gateway.problems import ProblemError, invalid
 from amaranthhollow.gateway.requests import (
     idempotency_key,
     read_body,
@@ -78,10 +79,15 @@
         if is_once and service_request.idempotency_key is None:
             detail = f"{request.method} {path} needs an Idempotency-Key header."
             raise invalid("Idempotency-Key", detail)
-        admit(node, workspace)
-        call = call_once if is_once else call_idempotent
-        answer = await call(node, service_request)
-        node.counters.increment("requests.answered")
+        lifecycle = RequestLifecycle(node)
+        try:
+            admit(node, workspace)
+            lifecycle.advance("admit")
+            call = call_once if is_once else call_idempotent
+            answer = await call(node, service_request, lifecycle)
+        except ProblemError as error:
+            lifecycle.end(error.problem.outcome)
+            raise
         response.status = answer.status
         response.content_type = answer.content_type or None
         response.data = answer.body
--- a/src/amaranthhollow/peers/peer.capnp
+++ b/src/amaranthhollow/peers/peer.capnp
@@ -39,4 +39,9 @@
 
   # Records the outcome of a claim: MessagePack of a ClaimOutcome.
   recordOutcome @5 (outcome :Data) -> ();
+
+  # Asks the owner of an endpoint whether a suspected request may run there.
+  acquireSuspectSlot @6 (host :Text, requestDigest :Data) -> (isGranted :Bool);
+
+  releaseSuspectSlot @7 (host :Text, requestDigest :Data) -> ();
 }
--- a/src/amaranthhollow/peers/server.py
+++ b/src/amaranthhollow/peers/server.py
@@ -37,6 +37,12 @@
         def record_outcome(self, outcome: ClaimOutcome) -> None:
             """Record the outcome of a peer's claim."""
 
+        def acquire_suspect_slot(self, host: str, request_digest: bytes) -> bool:
+            """Let a suspected request run at an endpoint, if no other does."""
+
+        def release_suspect_slot(self, host: str, request_digest: bytes) -> None:
+            """Note that a suspected request no longer runs at an endpoint."""
+
 
 __all__ = ["serve_peers"]
 
@@ -85,6 +91,16 @@
         decoded = msgspec.msgpack.decode(bytes(outcome), type=ClaimOutcome)
         self._handler.record_outcome(decoded)
 
+    async def acquireSuspectSlot_context(self, context: Any) -> None:  # noqa: N802
+        params = context.params
+        context.results.isGranted = self._handler.acquire_suspect_slot(
+            params.host, bytes(params.requestDigest)
+        )
+
+    async def releaseSuspectSlot_context(self, context: Any) -> None:  # noqa: N802
+        params = context.params
+        self._handler.release_suspect_slot(params.host, bytes(params.requestDigest))
+
 
 async def serve_peers(handler: PeerHandler, address: str, port: int) -> Any:
     """Listen for peers; bytes that are no Cap'n Proto end their connection only."""
