Give orders to engines under a lease, with fencing tokens

Cause: nothing brought engines to the model version that operators want, and a lease that lapses while its holder is paused was not proved. Weighed: renewing from when the answer came (a slow answer makes the holder outlast the service's lease), against counting from before it was asked. Change: one daemon a deployment holds a lease; orders state the wanted end and carry the revision at which the lease's key was created. A new holder waits out the old one's orders before engines that ignore the token. What remains possible: an engine that ignores tokens obeys an order that was delayed between check and send; it is ordered again within a second.

--- a/src/amaranthhollow/configuration/model.py
+++ b/src/amaranthhollow/configuration/model.py
@@ -39,11 +39,13 @@
 class ModelDeployment:
     """Endpoints that serve one model.
 
-    ``slots`` is the number of requests that one endpoint runs at once.
+    ``slots`` is the number of requests that one endpoint runs at once;
+    ``version`` is what engines are ordered to serve of the model.
     """
 
     kind: Literal["model"]
     model: str
+    version: str = "1"
     slots: PositiveInt = 8
     checks_fencing_token: bool = False
 
--- /dev/null
+++ b/src/amaranthhollow/daemon/control.py
@@ -0,0 +1,111 @@
+"""Brings engines to what the configuration wants, under a lease a deployment."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import islice
+from typing import TYPE_CHECKING
+
+import logbook
+from result import Err
+
+from amaranthhollow.configuration.model import ModelDeployment
+from amaranthhollow.decisions.control import Wanted, may_order, missing_orders
+from amaranthhollow.decisions.rendezvous import ranked
+from amaranthhollow.platform.lease_store import NamedLease
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.decisions.control import Order
+    from amaranthhollow.decisions.endpoints import Endpoint
+
+__all__ = ["ControlTask"]
+
+RECONCILE_SECONDS = 1.0
+CONTENDERS = 2
+
+log = logbook.Logger("control")
+
+
+class ControlTask:
+    """Reads what engines serve and orders what is wanted, while it holds a lease."""
+
+    def __init__(self, node: Node) -> None:
+        """Contend for the leases of the deployments that the node is in line for."""
+        self._node = node
+        self._leases_by_deployment: dict[str, NamedLease] = {}
+
+    async def run(self) -> None:
+        """Reconcile at each interval, until cancelled."""
+        while True:
+            await asyncio.sleep(RECONCILE_SECONDS)
+            deployments = self._node.configuration.deployments
+            await asyncio.gather(
+                *(
+                    self._reconcile(name, deployment)
+                    for name, deployment in deployments.items()
+                    if isinstance(deployment, ModelDeployment)
+                )
+            )
+
+    async def _reconcile(self, name: str, deployment: ModelDeployment) -> None:
+        node = self._node
+        lease = self._leases_by_deployment.setdefault(
+            name, NamedLease(node.key_value, name, node.settings.host, node.now)
+        )
+        if lease.holding is None and not self._is_contender(name):
+            return
+        was_held = lease.holding is not None
+        await lease.keep()
+        if was_held is not (lease.holding is not None):
+            state = "lost" if was_held else "held"
+            log.info("lease of {} is {}", name, state)
+        if lease.holding is not None:
+            await self._order(name, deployment, lease)
+
+    def _is_contender(self, name: str) -> bool:
+        in_line = ranked(f"lease-{name}", self._node.membership.active_hosts)
+        return self._node.settings.host in islice(in_line, CONTENDERS)
+
+    async def _order(
+        self, name: str, deployment: ModelDeployment, lease: NamedLease
+    ) -> None:
+        node = self._node
+        endpoints_by_host = {e.host: e for e in node.endpoints.usable(name, node.now())}
+        hosts = list(endpoints_by_host)
+        found = await asyncio.gather(
+            *(node.engines.wanted(endpoints_by_host[host].url) for host in hosts)
+        )
+        found_by_host = {
+            host: answer.ok_value
+            for host, answer in zip(hosts, found, strict=True)
+            if not isinstance(answer, Err)
+        }
+        if lease.holding is None:
+            return
+        wanted = Wanted(deployment.model, deployment.version)
+        token = lease.holding.fencing_token
+        orders = missing_orders(wanted, found_by_host, token)
+        await asyncio.gather(
+            *(
+                self._send(endpoints_by_host[host], order, deployment, lease)
+                for host, order in orders.items()
+            )
+        )
+
+    async def _send(
+        self,
+        endpoint: Endpoint,
+        order: Order,
+        deployment: ModelDeployment,
+        lease: NamedLease,
+    ) -> None:
+        """Send one order; the lease is looked at last before the first byte."""
+        checks_token = deployment.checks_fencing_token
+        node = self._node
+        if not may_order(lease.holding, node.now(), checks_token=checks_token):
+            node.counters.increment("orders.held_back")
+            return
+        sent = await node.engines.order(endpoint.url, order)
+        counter = "orders.failed" if isinstance(sent, Err) else "orders.sent"
+        node.counters.increment(counter)
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -14,6 +14,7 @@
 import logbook
 
 from amaranthhollow.daemon.configuration_sync import ConfigurationSync
+from amaranthhollow.daemon.control import ControlTask
 from amaranthhollow.daemon.counters import Counters
 from amaranthhollow.daemon.discovery import Discovery
 from amaranthhollow.daemon.gossiping import Gossiping
@@ -121,6 +122,7 @@
             self._configuration.run_watch(),
             self._configuration.run_check(),
             self._node.counters.flush_forever(),
+            ControlTask(self._node).run(),
             self._expire_streams(),
         ]
 
--- a/src/amaranthhollow/endpoints/engine.py
+++ b/src/amaranthhollow/endpoints/engine.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from amaranthhollow.decisions.control import ORDER_TIMEOUT_SECONDS, Order, Wanted
 from amaranthhollow.decisions.retries import AttemptFailure
 from amaranthhollow.decisions.streams import Chunk, StreamEnd
 
@@ -86,6 +87,10 @@
     tokens: int
 
 
+class _Standing(msgspec.Struct):
+    wanted: Wanted | None = None
+
+
 class _Choice(msgspec.Struct):
     text: str = ""
     delta: dict[str, Any] = msgspec.field(default_factory=dict)
@@ -147,6 +152,32 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as e:
             return Err(str(e) or type(e).__name__)
 
+    async def wanted(self, url: str) -> Result[Wanted | None, str]:
+        """Return what an engine was last ordered to serve, if anything."""
+        try:
+            async with (
+                asyncio.timeout(REPORT_TIMEOUT_SECONDS),
+                self._session.get(f"{url}/orders") as response,
+            ):
+                content = await response.read()
+                return Ok(msgspec.json.decode(content, type=_Standing).wanted)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as e:
+            return Err(str(e) or type(e).__name__)
+
+    async def order(self, url: str, order: Order) -> Result[None, str]:
+        """Give an order; an engine that checks tokens refuses an old one."""
+        content = msgspec.json.encode(order)
+        try:
+            async with (
+                asyncio.timeout(ORDER_TIMEOUT_SECONDS),
+                self._session.post(f"{url}/orders", data=content) as response,
+            ):
+                if response.status != 200:
+                    return Err(f"status {response.status}")
+                return Ok(None)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(str(error) or type(error).__name__)
+
     async def move_kv(
         self, source: str, target: str, request_id: str
     ) -> Result[KvHandle, str]:
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -73,6 +73,7 @@
         app.router.add_get("/load", self._load)
         app.router.add_get("/cache/events", self._events)
         app.router.add_post("/orders", self._order)
+        app.router.add_get("/orders", self._standing)
         app.router.add_get("/log", self._log)
         return app
 
@@ -213,6 +214,10 @@
         self._orders.append(order)
         return web.json_response({"orders": len(self._orders)})
 
+    async def _standing(self, request: web.Request) -> web.Response:
+        wanted = self._orders[-1]["wanted"] if self._orders else None
+        return web.json_response({"wanted": wanted})
+
     async def _log(self, request: web.Request) -> web.Response:
         runs = [
             {
