Route by a longer prefix, and count own requests for the other daemons'

Cause: the routing key was 256 characters, which all files of a workspace share; engines with free slots gave prefixes away to balance; and reports that lag by a second made all daemons queue hot prefixes at one engine. Ruled out: the hash (orders are even); correcting reports by own requests since they came (tried, no effect, reverted). Change: up to 2,048 characters in powers of two; an endpoint is full at its slots; a daemon takes its own requests for its share of all.

--- a/src/amaranthhollow/configuration/model.py
+++ b/src/amaranthhollow/configuration/model.py
@@ -104,6 +104,11 @@
     requests: RequestBounds = Field(default_factory=RequestBounds)
     claim_retention_seconds: Annotated[float, Field(ge=3600)] = 86_400.0
 
+    def slots_of(self, name: str) -> int:
+        """Return how many requests an endpoint of a deployment runs at once."""
+        deployment = self.deployments.get(name)
+        return deployment.slots if deployment is not None else 1
+
     def deployment_of_model(self, model: str) -> str | None:
         """Return the name of the deployment that serves ``model``."""
         for name, deployment in self.deployments.items():
--- a/src/amaranthhollow/decisions/routing.py
+++ b/src/amaranthhollow/decisions/routing.py
@@ -17,7 +17,8 @@
 __all__ = ["Load", "LoadReport", "Router", "prefix_key"]
 
 BOUNDED_LOAD_FACTOR = 1.25
-PREFIX_CHARACTERS = 256
+OWN_LOAD_WEIGHT = 0.7
+MAX_PREFIX_CHARACTERS = 2048
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -74,13 +75,20 @@
         self._loads_by_host.pop(host, None)
 
     def choose(
-        self, endpoints: Collection[Endpoint], key: str, tried: Collection[str] = ()
+        self,
+        endpoints: Collection[Endpoint],
+        key: str,
+        tried: Collection[str] = (),
+        slots: int = 1,
+        daemons: int = 1,
     ) -> Endpoint | None:
         """Choose an endpoint for a request with the prefix ``key``.
 
-        The endpoints are ranked by rendezvous hash of the key; the first whose
-        load is within a factor of the mean takes the request. Endpoints in
-        ``tried`` come into question only when there is no other.
+        The endpoints are ranked by rendezvous hash of the key; the first takes the
+        request whose load is within its ``slots`` or a factor of the mean: an engine
+        that has room need not give up a prefix for balance. Endpoints in ``tried``
+        come into question only when there is no other. ``daemons`` is how many
+        daemons send requests.
         """
         fresh = [e for e in endpoints if e.host not in tried]
         by_host = {endpoint.host: endpoint for endpoint in fresh or endpoints}
@@ -88,13 +96,30 @@
             return None
         loads = self._loads_by_host
         total = sum(loads[host].estimate for host in by_host if host in loads)
-        bound = BOUNDED_LOAD_FACTOR * (total + 1) / len(by_host)
+        mean = (total + 1) / len(by_host)
+        bound = max(BOUNDED_LOAD_FACTOR * mean, float(slots))
+        share = min(daemons, max(1, slots // 2))
         for host in ranked(key, by_host):
-            if self.load(host).estimate + 1 <= max(bound, 1.0):
+            if self._estimate(host, share) + 1 <= bound:
                 return by_host[host]
-        return by_host[min(by_host, key=lambda host: self.load(host).estimate)]
+        return by_host[min(by_host, key=lambda host: self._estimate(host, share))]
+
+    def _estimate(self, host: str, share: int) -> float:
+        """Estimate the load, taking this daemon's requests for a ``share`` of all.
+
+        Reports lag by a second, in which all daemons see the same endpoint idle. What
+        a daemon sent itself is known at once, and the others send about as much.
+        """
+        load = self.load(host)
+        others = (1 - OWN_LOAD_WEIGHT) * load.reported
+        return max(load.reported, OWN_LOAD_WEIGHT * load.own * share + others)
 
 
 def prefix_key(deployment: str, prompt: str) -> str:
-    """Return the routing key of a prompt: its deployment and first characters."""
-    return f"{deployment}\0{prompt[:PREFIX_CHARACTERS]}"
+    """Return the routing key of a prompt: its deployment and first characters.
+
+    The number of characters is a power of two, so that the key of a conversation
+    changes seldom as it grows, and prompts that share a short opening still differ.
+    """
+    length = min(len(prompt), MAX_PREFIX_CHARACTERS)
+    return f"{deployment}\0{prompt[: 1 << max(0, length.bit_length() - 1)]}"
--- a/src/amaranthhollow/gateway/model_calls.py
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -114,18 +114,27 @@
         if target is not None:
             return target
         node = self._node
-        key = prefix_key(self._deployment, self._request.prompt_text)
         while True:
             usable = node.endpoints.usable(self._deployment, node.now())
             is_suspect = node.quarantine.is_suspect(self._digest)
             free = [e for e in usable if e.host not in self._avoided]
             self._avoided.clear()
-            endpoint = node.router.choose(free, key, self._tried)
+            endpoint = self._pick(free)
             may_wait = is_suspect or self._stream.assembler.position
             if endpoint is not None or not may_wait:
                 return endpoint
             await asyncio.sleep(ENDPOINT_WAIT_SECONDS)
 
+    def _pick(self, endpoints: list[Endpoint]) -> Endpoint | None:
+        node = self._node
+        return node.router.choose(
+            endpoints,
+            prefix_key(self._deployment, self._request.prompt_text),
+            self._tried,
+            slots=node.configuration.slots_of(self._deployment),
+            daemons=len(node.membership.active_hosts),
+        )
+
     async def _attempt(self, endpoint: Endpoint) -> None:
         """Run one attempt, until it ends or the stream has to move."""
         node = self._node
@@ -212,8 +221,7 @@
     async def _move_cache(self, source: Endpoint, request: EngineRequest) -> None:
         node = self._node
         usable = node.endpoints.usable(self._deployment, node.now())
-        key = prefix_key(self._deployment, self._request.prompt_text)
-        target = node.router.choose(usable, key, self._tried)
+        target = self._pick(usable)
         if target is None:
             return
         moved = await node.engines.move_kv(source.url, target.url, request.request_id)
--- a/src/amaranthhollow/gateway/service_calls.py
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -148,7 +148,8 @@
     usable = node.endpoints.usable(request.deployment, node.now())
     fresh = [endpoint for endpoint in usable if endpoint.host not in tried]
     key = f"{request.workspace}\0{request.call.path}"
-    endpoint = node.router.choose(fresh, key)
+    slots = node.configuration.slots_of(request.deployment)
+    endpoint = node.router.choose(fresh, key, slots=slots)
     if endpoint is None:
         return None
     tried.add(endpoint.host)
