Keep a hot prefix from filling its engine

Cause: one file that a third of the requests ask about filled the slots of its engine; the other files of that engine were sent away and recomputed. Ruled out: the order of spilled requests; it is the same at all daemons. Change: one prefix gets at most 0.6 of an endpoint's slots, by the daemon's own requests with it.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from amaranthhollow.decisions.endpoints import EndpointTable, ListedEndpoint, fact_of
-from amaranthhollow.decisions.routing import Router, prefix_key
+from amaranthhollow.decisions.routing import Router
 from benchmarks.serving import Clock, Engine, Job, Totals
 
 if TYPE_CHECKING:
@@ -106,15 +106,13 @@
         router = self.random.choice(self.routers)
         usable = self.table.usable("drafting", self.clock.now)
         host = _POLICIES[self.policy](self, router, [e.host for e in usable], job)
-        router.started(host)
-        self.engines[host].submit(job, lambda: router.ended(host))
+        router.started(host, job.prefix)
+        self.engines[host].submit(job, lambda: router.ended(host, job.prefix))
 
     def prefixed(self, router: Router, hosts: list[str], job: Job) -> str:
         """The policy of the system."""
-        shared = "s" * self.workload.shared_characters
-        text = f"{shared} {job.prefix} " + "t" * 4 * job.prefix_tokens
         usable = self.table.usable("drafting", self.clock.now)
-        key = prefix_key("drafting", text)
+        key = job.prefix
         return router.choose(
             usable, key, slots=self.workload.slots, daemons=DAEMONS
         ).host
--- a/src/amaranthhollow/decisions/routing.py
+++ b/src/amaranthhollow/decisions/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 
 BOUNDED_LOAD_FACTOR = 1.25
 OWN_LOAD_WEIGHT = 0.7
+PREFIX_SHARE = 0.6
 MAX_PREFIX_CHARACTERS = 2048
 
 
@@ -49,18 +51,23 @@
     def __init__(self) -> None:
         """Start without load."""
         self._loads_by_host: dict[str, Load] = {}
+        self._own_by_prefix: Counter[tuple[str, str]] = Counter()
 
     def load(self, host: str) -> Load:
         """Return what is known of the load of an endpoint."""
         return self._loads_by_host.get(host, NO_LOAD)
 
-    def started(self, host: str) -> None:
-        """Count a request sent to an endpoint."""
+    def started(self, host: str, key: str = "") -> None:
+        """Count a request with the prefix ``key`` sent to an endpoint."""
+        self._own_by_prefix[host, key] += 1
         load = self.load(host)
         self._loads_by_host[host] = Load(load.own + 1, load.reported + 1)
 
-    def ended(self, host: str) -> None:
+    def ended(self, host: str, key: str = "") -> None:
         """Count a request that an endpoint is done with."""
+        self._own_by_prefix[host, key] -= 1
+        if not self._own_by_prefix[host, key]:
+            del self._own_by_prefix[host, key]
         load = self.load(host)
         self._loads_by_host[host] = Load(
             max(0, load.own - 1), max(0, load.reported - 1)
@@ -87,8 +94,9 @@
         The endpoints are ranked by rendezvous hash of the key; the first takes the
         request whose load is within its ``slots`` or a factor of the mean: an engine
         that has room need not give up a prefix for balance. Endpoints in ``tried``
-        come into question only when there is no other. ``daemons`` is how many
-        daemons send requests.
+        come into question only when there is no other. One prefix gets a share of an
+        endpoint's slots at most, so that a hot one does not drive the others away.
+        ``daemons`` is how many daemons send requests.
         """
         fresh = [e for e in endpoints if e.host not in tried]
         by_host = {endpoint.host: endpoint for endpoint in fresh or endpoints}
@@ -100,7 +108,8 @@
         bound = max(BOUNDED_LOAD_FACTOR * mean, float(slots))
         share = min(daemons, max(1, slots // 2))
         for host in ranked(key, by_host):
-            if self._estimate(host, share) + 1 <= bound:
+            is_hot = self._own_by_prefix[host, key] * share >= PREFIX_SHARE * bound
+            if not is_hot and self._estimate(host, share) + 1 <= bound:
                 return by_host[host]
         return by_host[min(by_host, key=lambda host: self._estimate(host, share))]
 
--- a/src/amaranthhollow/gateway/model_calls.py
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -63,6 +63,7 @@
         self._avoided: set[str] = set()
         self._kv_target: Endpoint | None = None
         self._kv_handle = ""
+        self._prefix_key = prefix_key(deployment, request.prompt_text)
         self._digest = digest(
             deployment,
             request.prompt_text,
@@ -129,7 +130,7 @@
         node = self._node
         return node.router.choose(
             endpoints,
-            prefix_key(self._deployment, self._request.prompt_text),
+            self._prefix_key,
             self._tried,
             slots=node.configuration.slots_of(self._deployment),
             daemons=len(node.membership.active_hosts),
@@ -152,12 +153,12 @@
         )
         self._kv_handle = ""
         self._lifecycle.advance("dispatch")
-        node.router.started(endpoint.host)
+        node.router.started(endpoint.host, self._prefix_key)
         pump = asyncio.create_task(self._pump(endpoint, request))
         try:
             await self._supervise(endpoint, request, pump)
         finally:
-            node.router.ended(endpoint.host)
+            node.router.ended(endpoint.host, self._prefix_key)
             pump.cancel()
 
     async def _pump(self, endpoint: Endpoint, request: EngineRequest) -> None:
