Share a busy deployment among workspaces, and refuse the rest at once

Cause: nothing but each workspace's rate bounded what was admitted. At three times the capacity 144 of 20,809 requests got their first token in time, and a workspace that floods kept the others out (29 of 4,204). Ruled out: routing; with room to spare 3,504 of 3,507 are in time. Change: when a deployment is busy, a daemon admits each workspace up to its weighted part of the daemon's slots; lighter ones may go over it.

--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,124 @@
+"""Overload: goodput at three times the capacity, and what each workspace gets."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from amaranthhollow.decisions.endpoints import EndpointTable, fact_of
+from amaranthhollow.decisions.limits import Admit, Capacity, FairShare
+from amaranthhollow.decisions.routing import Router
+from benchmarks.serving import TOKEN_SECONDS, Clock, Engine, Job, Totals, listed_engine
+
+__all__: list[str] = []
+
+SEED = 23
+DAEMONS = 9
+ENGINES = 9
+SLOTS = 16
+OUTPUT_TOKENS = 100
+DURATION_SECONDS = 120.0
+REPORT_SECONDS = 0.5
+REPORT_LAG_SECONDS = 1.0
+FLOODING = "large"
+FLOOD_SHARE = 0.8
+WORKSPACES = ("a", "b", "c", "d")
+WEIGHTS = {FLOODING: 2.0, "a": 1.0, "b": 1.0, "c": 1.0, "d": 1.0}
+MIN_GOODPUT_RATIO = 0.90
+CAPACITY_RATE = ENGINES * SLOTS / (OUTPUT_TOKENS * TOKEN_SECONDS)
+
+
+class Run:
+    """One rate, with or without limits."""
+
+    def __init__(self, load_factor: float, *, is_limited: bool) -> None:
+        self.rate = load_factor * CAPACITY_RATE
+        self.is_limited = is_limited
+        self.random = Random(SEED)
+        self.clock = Clock()
+        self.table = EndpointTable()
+        self.engines = {f"e{n}": self._engine(n) for n in range(ENGINES)}
+        self.routers = [Router() for _ in range(DAEMONS)]
+        self.limits = [FairShare() for _ in range(DAEMONS)]
+        self.totals = Totals()
+        self.clock.later(0.0, self._arrive)
+        self.clock.later(0.0, self._report)
+
+    def _engine(self, number: int) -> Engine:
+        self.table.apply(fact_of(listed_engine(number)), 0.0)
+        return Engine(self.clock, SLOTS, 10**6)
+
+    def result(self) -> Totals:
+        """Run to the end."""
+        self.clock.run_until(DURATION_SECONDS)
+        return self.totals
+
+    def _arrive(self) -> None:
+        is_flood = self.random.random() < FLOOD_SHARE
+        workspace = FLOODING if is_flood else self.random.choice(WORKSPACES)
+        prefix = f"{workspace}-{self.random.randrange(20)}"
+        job = Job(workspace, prefix, 200, 50, OUTPUT_TOKENS, self.clock.now)
+        self.totals.jobs.append(job)
+        self._admit(job)
+        self.clock.later(self.random.expovariate(self.rate), self._arrive)
+
+    def _admit(self, job: Job) -> None:
+        daemon = self.random.randrange(DAEMONS)
+        router, limits = self.routers[daemon], self.limits[daemon]
+        reported = sum(router.load(host).estimate for host in self.engines)
+        capacity = Capacity(ENGINES * SLOTS, reported, DAEMONS)
+        decision = limits.admit(job.workspace, WEIGHTS, capacity, self.clock.now)
+        if self.is_limited and not isinstance(decision, Admit):
+            job.is_refused = True
+            return
+        limits.started(job.workspace)
+        usable = self.table.usable("drafting", self.clock.now)
+        host = router.choose(usable, job.prefix, slots=SLOTS, daemons=DAEMONS).host
+        router.started(host, job.prefix)
+        self.engines[host].submit(job, lambda: self._end(daemon, host, job))
+
+    def _end(self, daemon: int, host: str, job: Job) -> None:
+        self.routers[daemon].ended(host, job.prefix)
+        self.limits[daemon].ended(job.workspace)
+
+    def _report(self) -> None:
+        for host, engine in self.engines.items():
+            requests = engine.load
+            self.clock.later(
+                REPORT_LAG_SECONDS, lambda h=host, r=requests: self._reported(h, r)
+            )
+        self.clock.later(REPORT_SECONDS, self._report)
+
+    def _reported(self, host: str, requests: int) -> None:
+        for router in self.routers:
+            router.reported(host, requests)
+
+
+def describe(factor: float, totals: Totals) -> int:
+    """Print what each workspace got, and return the requests in time."""
+    sent = Counter(job.workspace for job in totals.jobs)
+    got = Counter(job.workspace for job in totals.jobs if job.is_in_time)
+    refused = sum(job.is_refused for job in totals.jobs)
+    shares = ", ".join(f"{w} {got[w]}/{sent[w]}" for w in sorted(sent))
+    print(
+        f"  {factor:.1f} of the capacity: in time {totals.in_time}/{len(totals.jobs)}, "
+        f"refused at once {refused}, first token p95 {totals.first_token_p95():.2f} s; "
+        f"{shares}"
+    )
+    return totals.in_time
+
+
+def main() -> None:
+    """Print several loads without and with limits, and the verdict."""
+    for is_limited in (False, True):
+        print("with limits" if is_limited else "without limits")
+        goodput = {
+            factor: describe(factor, Run(factor, is_limited=is_limited).result())
+            for factor in (0.5, 0.8, 1.0, 1.5, 3.0)
+        }
+    ratio = goodput[3.0] / max(goodput.values())
+    verdict = "ok" if ratio >= MIN_GOODPUT_RATIO else "RED"
+    print(f"{verdict}: goodput at 3.0 is {ratio:.2f} of its peak, bound 0.90")
+
+
+main()
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -7,9 +7,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from amaranthhollow.decisions.endpoints import EndpointTable, ListedEndpoint, fact_of
+from amaranthhollow.decisions.endpoints import EndpointTable, fact_of
 from amaranthhollow.decisions.routing import Router
-from benchmarks.serving import Clock, Engine, Job, Totals
+from benchmarks.serving import Clock, Engine, Job, Totals, listed_engine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,15 +70,7 @@
             self.clock.later(WAVE_AT_SECONDS, self._reclaim)
 
     def _engine(self, number: int) -> Engine:
-        item = ListedEndpoint(
-            host=f"e{number}",
-            incarnation=1,
-            address="127.0.0.1",
-            port=9000,
-            data_centre=f"dc-{number % 4}",
-            deployment="drafting",
-        )
-        self.table.apply(fact_of(item), 0.0)
+        self.table.apply(fact_of(listed_engine(number)), 0.0)
         return Engine(self.clock, self.workload.slots, self.workload.cache_tokens)
 
     def result(self) -> Totals:
--- a/benchmarks/serving.py
+++ b/benchmarks/serving.py
@@ -13,10 +13,12 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from amaranthhollow.decisions.endpoints import ListedEndpoint
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Clock", "Engine", "Job", "Totals"]
+__all__ = ["Clock", "Engine", "Job", "Totals", "listed_engine"]
 
 FIRST_TOKEN_BOUND_SECONDS = 0.64
 PREFILL_TOKENS_PER_SECOND = 20_000.0
@@ -117,6 +119,18 @@
         self._start_next()
 
 
+def listed_engine(number: int) -> ListedEndpoint:
+    """Return an engine as the platform lists it, in one of four data centres."""
+    return ListedEndpoint(
+        host=f"e{number}",
+        incarnation=1,
+        address="127.0.0.1",
+        port=9000,
+        data_centre=f"dc-{number % 4}",
+        deployment="drafting",
+    )
+
+
 @dataclass
 class Totals:
     """What a run came to."""
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from amaranthhollow.decisions.endpoints import EndpointTable
-from amaranthhollow.decisions.limits import WorkspaceLimiter
+from amaranthhollow.decisions.limits import FairShare, WorkspaceLimiter
 from amaranthhollow.decisions.quarantine import Quarantine, SuspectSlots
 from amaranthhollow.decisions.retries import RetryBudget
 from amaranthhollow.decisions.routing import Router
@@ -54,6 +54,7 @@
     endpoints: EndpointTable = field(default_factory=EndpointTable)
     router: Router = field(default_factory=Router)
     limiter: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
+    shares_by_deployment: dict[str, FairShare] = field(default_factory=dict)
     quarantine: Quarantine = field(default_factory=Quarantine)
     suspect_slots: SuspectSlots = field(default_factory=SuspectSlots)
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
@@ -85,6 +86,10 @@
         self.lifecycle = chart.advance(self.lifecycle, event)
         return True
 
+    def fair_share(self, deployment: str) -> FairShare:
+        """Return how a deployment's slots are shared among workspaces."""
+        return self.shares_by_deployment.setdefault(deployment, FairShare())
+
     def next_claim_id(self) -> str:
         """Return an identifier that no other claim has."""
         self.claim_sequence += 1
--- a/src/amaranthhollow/decisions/limits.py
+++ b/src/amaranthhollow/decisions/limits.py
@@ -7,11 +7,20 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-__all__ = ["Admit", "Refuse", "WorkspaceLimiter"]
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["Admit", "Capacity", "FairShare", "Refuse", "WorkspaceLimiter"]
 
 BURST_SECONDS = 1.0
+BUSY_SHARE = 0.85
+BURST_FACTOR = 2.0
+BUSY_RETRY_SECONDS = 2.0
+OVERFLOW_FACTOR = 1.2
 
 
 @dataclass(frozen=True)
@@ -42,3 +51,78 @@
             return Refuse(retry_at=arrival_at + interval - tolerance)
         self._arrival_at_by_workspace[workspace] = arrival_at + interval
         return Admit()
+
+
+@dataclass(frozen=True)
+class Capacity:
+    """What the endpoints of a deployment can run, and what they report to run.
+
+    ``slots`` and ``reported`` are sums over the usable endpoints; ``daemons`` share
+    them.
+    """
+
+    slots: int
+    reported: int
+    daemons: int
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether requests would soon have to queue."""
+        return self.reported >= BUSY_SHARE * self.slots
+
+    @property
+    def local_slots(self) -> float:
+        """This daemon's part of the slots."""
+        return self.slots / max(1, self.daemons)
+
+
+class FairShare:
+    """Shares a deployment's slots among workspaces by weight, when it is busy.
+
+    A workspace that sends more than its share is refused at once, so that requests
+    of the others do not queue behind it and those that are admitted are in time. One
+    that uses less for its weight than another may go somewhat over its share. With
+    room to spare every request is admitted.
+    """
+
+    def __init__(self) -> None:
+        """Start with no request in flight."""
+        self._in_flight_by_workspace: Counter[str] = Counter()
+
+    def admit(
+        self,
+        workspace: str,
+        weights_by_workspace: Mapping[str, float],
+        capacity: Capacity,
+        now: float,
+    ) -> Admit | Refuse:
+        """Decide on a request of ``workspace`` at ``now``."""
+        total = self._in_flight_by_workspace.total()
+        if not capacity.is_busy and total < BURST_FACTOR * capacity.local_slots:
+            return Admit()
+        active = {w for w, count in self._in_flight_by_workspace.items() if count}
+        weight = weights_by_workspace.get(workspace, 1.0)
+        weights = sum(weights_by_workspace.get(w, 1.0) for w in active | {workspace})
+        share = max(1.0, capacity.local_slots * weight / weights)
+        if self._in_flight_by_workspace[workspace] < share:
+            return Admit()
+        is_crowded = total >= OVERFLOW_FACTOR * capacity.local_slots
+        if not is_crowded and self._is_light(workspace, weights_by_workspace):
+            return Admit()
+        return Refuse(retry_at=now + BUSY_RETRY_SECONDS)
+
+    def _is_light(self, workspace: str, weights: Mapping[str, float]) -> bool:
+        """Tell whether another workspace uses more for its weight."""
+        used = {
+            w: count / weights.get(w, 1.0)
+            for w, count in self._in_flight_by_workspace.items()
+        }
+        return used.get(workspace, 0.0) < max(used.values(), default=0.0)
+
+    def started(self, workspace: str) -> None:
+        """Count an admitted request."""
+        self._in_flight_by_workspace[workspace] += 1
+
+    def ended(self, workspace: str) -> None:
+        """Count a request that has ended."""
+        self._in_flight_by_workspace[workspace] -= 1
--- /dev/null
+++ b/src/amaranthhollow/gateway/admission.py
@@ -0,0 +1,64 @@
+"""Admits or refuses requests: by the workspace's budget, then by its fair share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from amaranthhollow.decisions.limits import Capacity, Refuse
+from amaranthhollow.decisions.retries import Outcome
+from amaranthhollow.gateway.problems import Problem, ProblemError
+
+if TYPE_CHECKING:
+    from amaranthhollow.daemon.node import Node
+    from amaranthhollow.gateway.lifecycle import RequestLifecycle
+
+__all__ = ["admit"]
+
+
+def admit(node: Node, lifecycle: RequestLifecycle) -> None:
+    """Admit a request, or refuse it at once with the time to come back."""
+    workspace = node.configuration.workspaces[lifecycle.workspace]
+    daemons = max(1, len(node.membership.active_hosts))
+    rate = workspace.requests_per_second / daemons
+    decision = node.limiter.admit(lifecycle.workspace, rate, node.now())
+    if isinstance(decision, Refuse):
+        node.counters.increment("requests.refused_by_limit")
+        detail = f"The workspace {lifecycle.workspace!r} sends more than its rate."
+        raise _refused(node, decision, 429, "over-budget", detail)
+    decision = node.fair_share(lifecycle.deployment).admit(
+        lifecycle.workspace,
+        {name: w.weight for name, w in node.configuration.workspaces.items()},
+        _capacity(node, lifecycle.deployment, daemons),
+        node.now(),
+    )
+    if isinstance(decision, Refuse):
+        node.counters.increment("requests.refused_by_share")
+        detail = f"The deployment {lifecycle.deployment!r} is busy."
+        raise _refused(node, decision, 503, "busy", detail)
+    lifecycle.advance("admit")
+    node.counters.increment("requests.admitted")
+    node.retry_budget = node.retry_budget.earned()
+
+
+def _capacity(node: Node, deployment: str, daemons: int) -> Capacity:
+    usable = node.endpoints.usable(deployment, node.now())
+    return Capacity(
+        slots=len(usable) * node.configuration.slots_of(deployment),
+        reported=sum(node.router.load(e.host).estimate for e in usable),
+        daemons=daemons,
+    )
+
+
+def _refused(
+    node: Node, refusal: Refuse, status: int, kind: str, detail: str
+) -> ProblemError:
+    return ProblemError(
+        Problem(
+            status=status,
+            kind=kind,
+            title="The request is refused for now",
+            detail=detail,
+            outcome=Outcome.NOT_RUN,
+            retry_after_seconds=node.retry_after_seconds(refusal.retry_at - node.now()),
+        )
+    )
--- a/src/amaranthhollow/gateway/model_calls.py
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -45,7 +45,6 @@
         node: Node,
         request: ModelRequest,
         request_id: str,
-        deployment: str,
         stream: LiveStream,
         deadline: float,
         lifecycle: RequestLifecycle,
@@ -54,7 +53,7 @@
         self._node = node
         self._request = request
         self._request_id = request_id
-        self._deployment = deployment
+        self._deployment = lifecycle.deployment
         self._stream = stream
         self._deadline = deadline
         self._lifecycle = lifecycle
@@ -63,9 +62,9 @@
         self._avoided: set[str] = set()
         self._kv_target: Endpoint | None = None
         self._kv_handle = ""
-        self._prefix_key = prefix_key(deployment, request.prompt_text)
+        self._prefix_key = prefix_key(lifecycle.deployment, request.prompt_text)
         self._digest = digest(
-            deployment,
+            lifecycle.deployment,
             request.prompt_text,
             str(request.max_tokens),
             repr(sorted(request.sampling.items())),
--- a/src/amaranthhollow/gateway/model_resource.py
+++ b/src/amaranthhollow/gateway/model_resource.py
@@ -12,8 +12,8 @@
 from falcon.asgi import SSEvent
 
 from amaranthhollow.decisions.claim_records import digest
-from amaranthhollow.decisions.limits import Refuse
 from amaranthhollow.decisions.retries import Outcome
+from amaranthhollow.gateway.admission import admit
 from amaranthhollow.gateway.lifecycle import RequestLifecycle
 from amaranthhollow.gateway.live_streams import LiveStream
 from amaranthhollow.gateway.model_calls import ModelCall
@@ -37,35 +37,13 @@
     from amaranthhollow.gateway.requests import ModelRequest
     from amaranthhollow.gateway.stream_lookup import StreamLookup
 
-__all__ = ["CompletionResource", "ModelListResource", "admit"]
+__all__ = ["CompletionResource", "ModelListResource"]
 
 log = logbook.Logger("completions")
 
 LAST_EVENT_HEADER = "Last-Event-ID"
 
 
-def admit(node: Node, workspace: str) -> None:
-    """Count a request against its workspace's budget, or refuse it at once."""
-    rate = node.configuration.workspaces[workspace].requests_per_second
-    share = rate / max(1, len(node.membership.active_hosts))
-    decision = node.limiter.admit(workspace, share, node.now())
-    if isinstance(decision, Refuse):
-        node.counters.increment("requests.refused_by_limit")
-        delay = decision.retry_at - node.now()
-        raise ProblemError(
-            Problem(
-                status=429,
-                kind="over-budget",
-                title="The workspace is over its budget",
-                detail=f"The workspace {workspace!r} sends more than its rate.",
-                outcome=Outcome.NOT_RUN,
-                retry_after_seconds=node.retry_after_seconds(delay),
-            )
-        )
-    node.counters.increment("requests.admitted")
-    node.retry_budget = node.retry_budget.earned()
-
-
 @dataclass(frozen=True)
 class _Answer:
     """What the chunks of one answer have in common."""
@@ -150,10 +128,14 @@
         key_digest = _stream_key(workspace, deployment, key, parsed) if key else None
         stream = await self._rejoin(key_digest, after_id)
         if stream is None:
-            admit(node, workspace)
-            stream = self._begin(parsed, deployment, deadline, key_digest, None)
+            lifecycle = RequestLifecycle(node, workspace, deployment)
+            admit(node, lifecycle)
+            stream = self._begin(parsed, lifecycle, deadline, key_digest, None)
         elif not stream.is_ended and not stream.has_producer:
-            stream = self._begin(parsed, deployment, deadline, key_digest, stream)
+            # The rest of an answer that was admitted before is not refused.
+            lifecycle = RequestLifecycle(node, workspace, deployment)
+            lifecycle.advance("admit")
+            stream = self._begin(parsed, lifecycle, deadline, key_digest, stream)
         await stream.wait_until(after_id)
         if stream.problem is not None and stream.assembler.position <= after_id:
             raise ProblemError(stream.problem)
@@ -180,7 +162,7 @@
     def _begin(
         self,
         parsed: ModelRequest,
-        deployment: str,
+        lifecycle: RequestLifecycle,
         deadline: float,
         key_digest: bytes | None,
         orphan: LiveStream | None,
@@ -191,11 +173,7 @@
         stream.is_rejoinable = key_digest is not None
         if key_digest is not None:
             self._streams.put(key_digest, stream)
-        lifecycle = RequestLifecycle(self._node)
-        lifecycle.advance("admit")
-        call = ModelCall(
-            self._node, parsed, uuid4().hex, deployment, stream, deadline, lifecycle
-        )
+        call = ModelCall(self._node, parsed, uuid4().hex, stream, deadline, lifecycle)
         production = asyncio.create_task(call.run())
         stream.begin(cancel_producer=production.cancel)
         self._tasks.add(production)
--- a/src/amaranthhollow/gateway/service_resource.py
+++ b/src/amaranthhollow/gateway/service_resource.py
@@ -6,8 +6,8 @@
 
 from amaranthhollow.configuration.model import ServiceDeployment
 from amaranthhollow.endpoints.service import ServiceCall
+from amaranthhollow.gateway.admission import admit
 from amaranthhollow.gateway.lifecycle import RequestLifecycle
-from amaranthhollow.gateway.model_resource import admit
 from amaranthhollow.gateway.problems import ProblemError, invalid
 from amaranthhollow.gateway.requests import (
     idempotency_key,
@@ -79,10 +79,9 @@
         if is_once and service_request.idempotency_key is None:
             detail = f"{request.method} {path} needs an Idempotency-Key header."
             raise invalid("Idempotency-Key", detail)
-        lifecycle = RequestLifecycle(node)
+        lifecycle = RequestLifecycle(node, workspace, name)
         try:
-            admit(node, workspace)
-            lifecycle.advance("admit")
+            admit(node, lifecycle)
             call = call_once if is_once else call_idempotent
             answer = await call(node, service_request, lifecycle)
         except ProblemError as error:
--- a/tests/decisions/test_policies.py
+++ b/tests/decisions/test_policies.py
@@ -8,7 +8,13 @@
     ListedEndpoint,
     fact_of,
 )
-from amaranthhollow.decisions.limits import Admit, Refuse, WorkspaceLimiter
+from amaranthhollow.decisions.limits import (
+    Admit,
+    Capacity,
+    FairShare,
+    Refuse,
+    WorkspaceLimiter,
+)
 from amaranthhollow.decisions.quarantine import (
     SETTLE_SECONDS,
     SLOT_SECONDS,
@@ -176,3 +182,36 @@
     slots.release("a", b"x")
     assert slots.acquire("a", b"y", 1.0)
     assert slots.acquire("a", b"z", 1.0 + SLOT_SECONDS)
+
+
+def flood(share, workspace, count, capacity):
+    """Send ``count`` requests that do not end, and return how many are admitted."""
+    admitted = 0
+    for _ in range(count):
+        decision = share.admit(workspace, {"large": 2.0, "a": 1.0}, capacity, 0.0)
+        if isinstance(decision, Admit):
+            share.started(workspace)
+            admitted += 1
+    return admitted
+
+
+def test_flooding_workspace_leaves_the_others_their_share():
+    share = FairShare()
+    busy = Capacity(slots=270, reported=270, daemons=9)
+    assert flood(share, "large", 100, busy) == 30
+    assert flood(share, "a", 100, busy) >= 10
+
+
+def test_everything_is_admitted_while_there_is_room():
+    share = FairShare()
+    quiet = Capacity(slots=270, reported=100, daemons=9)
+    assert flood(share, "large", 50, quiet) == 50
+
+
+def test_ended_requests_free_the_share():
+    share = FairShare()
+    busy = Capacity(slots=90, reported=90, daemons=9)
+    admitted = flood(share, "large", 50, busy)
+    for _ in range(admitted):
+        share.ended("large")
+    assert flood(share, "large", 50, busy) == admitted
