Write answers from typed documents, and split grown modules

Cause: answers were bare maps built for each token; three modules had two jobs (claims, completions, problems of model calls used by services). Change: typed documents in gateway/answers.py; claim state and resolution in modules of their own; problems that two paths share in one place; a refused request ends its lifecycle (before, it stayed counted as received).

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -42,7 +42,8 @@
     encode_segment,
     shard_of,
 )
-from amaranthhollow.decisions.claims import ShardState, step
+from amaranthhollow.decisions.claim_state import ShardState
+from amaranthhollow.decisions.claims import step
 from amaranthhollow.decisions.rendezvous import owner
 
 if TYPE_CHECKING:
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -8,7 +8,15 @@
 from amaranthhollow.decisions.endpoints import EndpointTable, fact_of
 from amaranthhollow.decisions.limits import Admit, Capacity, FairShare
 from amaranthhollow.decisions.routing import Router
-from benchmarks.serving import TOKEN_SECONDS, Clock, Engine, Job, Totals, listed_engine
+from benchmarks.serving import (
+    TOKEN_SECONDS,
+    Clock,
+    Engine,
+    Job,
+    LaggingReports,
+    Totals,
+    listed_engine,
+)
 
 __all__: list[str] = []
 
@@ -18,8 +26,6 @@
 SLOTS = 16
 OUTPUT_TOKENS = 100
 DURATION_SECONDS = 120.0
-REPORT_SECONDS = 0.5
-REPORT_LAG_SECONDS = 1.0
 FLOODING = "large"
 FLOOD_SHARE = 0.8
 WORKSPACES = ("a", "b", "c", "d")
@@ -42,7 +48,7 @@
         self.limits = [FairShare() for _ in range(DAEMONS)]
         self.totals = Totals()
         self.clock.later(0.0, self._arrive)
-        self.clock.later(0.0, self._report)
+        LaggingReports(self.clock, self.engines, self.routers).start()
 
     def _engine(self, number: int) -> Engine:
         self.table.apply(fact_of(listed_engine(number)), 0.0)
@@ -81,18 +87,6 @@
         self.routers[daemon].ended(host, job.prefix)
         self.limits[daemon].ended(job.workspace)
 
-    def _report(self) -> None:
-        for host, engine in self.engines.items():
-            requests = engine.load
-            self.clock.later(
-                REPORT_LAG_SECONDS, lambda h=host, r=requests: self._reported(h, r)
-            )
-        self.clock.later(REPORT_SECONDS, self._report)
-
-    def _reported(self, host: str, requests: int) -> None:
-        for router in self.routers:
-            router.reported(host, requests)
-
 
 def describe(factor: float, totals: Totals) -> int:
     """Print what each workspace got, and return the requests in time."""
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -9,7 +9,7 @@
 
 from amaranthhollow.decisions.endpoints import EndpointTable, fact_of
 from amaranthhollow.decisions.routing import Router
-from benchmarks.serving import Clock, Engine, Job, Totals, listed_engine
+from benchmarks.serving import Clock, Engine, Job, LaggingReports, Totals, listed_engine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,8 +20,6 @@
 DAEMONS = 9
 DURATION_SECONDS = 240.0
 WAVE_AT_SECONDS = 120.0
-REPORT_SECONDS = 0.5
-REPORT_LAG_SECONDS = 1.0
 MAX_RECOMPUTED_RATIO = 1.10
 
 
@@ -65,7 +63,7 @@
         self.totals = Totals()
         self._turn = count()
         self.clock.later(0.0, self._arrive)
-        self.clock.later(0.0, self._report)
+        LaggingReports(self.clock, self.engines, self.routers).start()
         if with_wave:
             self.clock.later(WAVE_AT_SECONDS, self._reclaim)
 
@@ -121,18 +119,6 @@
         """The least loaded by reports and own requests, ties at random."""
         return min(hosts, key=lambda h: (router.load(h).estimate, self.random.random()))
 
-    def _report(self) -> None:
-        for host, engine in self.engines.items():
-            requests = engine.load
-            self.clock.later(
-                REPORT_LAG_SECONDS, lambda h=host, r=requests: self._reported(h, r)
-            )
-        self.clock.later(REPORT_SECONDS, self._report)
-
-    def _reported(self, host: str, requests: int) -> None:
-        for router in self.routers:
-            router.reported(host, requests)
-
     def _reclaim(self) -> None:
         """Take one data centre; its streams move with their cache."""
         for endpoint in self.table.all():
--- a/benchmarks/serving.py
+++ b/benchmarks/serving.py
@@ -18,11 +18,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Clock", "Engine", "Job", "Totals", "listed_engine"]
+    from amaranthhollow.decisions.routing import Router
+
+__all__ = ["Clock", "Engine", "Job", "LaggingReports", "Totals", "listed_engine"]
 
 FIRST_TOKEN_BOUND_SECONDS = 0.64
 PREFILL_TOKENS_PER_SECOND = 20_000.0
 TOKEN_SECONDS = 0.025
+REPORT_SECONDS = 0.5
+REPORT_LAG_SECONDS = 1.0
 
 
 @dataclass
@@ -131,6 +135,29 @@
     )
 
 
+class LaggingReports:
+    """Tells all daemons at intervals what load the engines had a while ago."""
+
+    def __init__(
+        self, clock: Clock, engines: dict[str, Engine], routers: list[Router]
+    ) -> None:
+        """Report on ``engines`` to ``routers``."""
+        self._clock = clock
+        self._engines = engines
+        self._routers = routers
+
+    def start(self) -> None:
+        """Report now and at each interval."""
+        loads_by_host = {host: engine.load for host, engine in self._engines.items()}
+        self._clock.later(REPORT_LAG_SECONDS, lambda: self._deliver(loads_by_host))
+        self._clock.later(REPORT_SECONDS, self.start)
+
+    def _deliver(self, loads_by_host: dict[str, int]) -> None:
+        for router in self._routers:
+            for host, requests in loads_by_host.items():
+                router.reported(host, requests)
+
+
 @dataclass
 class Totals:
     """What a run came to."""
--- a/src/amaranthhollow/decisions/claims.py
+++ b/src/amaranthhollow/decisions/claims.py
@@ -9,9 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
-from enum import Enum
-from typing import TYPE_CHECKING
+from dataclasses import replace
 
 from amaranthhollow.decisions.claim_messages import (
     Action,
@@ -28,7 +26,6 @@
     OutcomeReported,
     RefusalReason,
     RefuseClaim,
-    ReplayAnswer,
     RetryDue,
     SegmentsLoaded,
     SegmentWritten,
@@ -45,92 +42,24 @@
     ClaimRecord,
     ClaimState,
 )
+from amaranthhollow.decisions.claim_resolution import resolve
 from amaranthhollow.decisions.claim_shard import (
     Batch,
     ShardView,
-    Spill,
     apply_outcome,
-    closed_record,
     expired_answers,
     plan_spill,
     trim,
 )
+from amaranthhollow.decisions.claim_state import Phase, ShardState, Step, WaitingClaim
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-__all__ = [
-    "BACKOFF_SECONDS",
-    "Phase",
-    "ShardState",
-    "Step",
-    "step",
-    "unfinished_claims",
-]
+__all__ = ["BACKOFF_SECONDS", "step"]
 
 BACKOFF_SECONDS = 0.5
 CLAIM_WRITE_INTERVAL_SECONDS = 0.04
 OUTCOME_WRITE_INTERVAL_SECONDS = 0.1
 
 
-class Phase(Enum):
-    """What the writer of a shard is waiting for."""
-
-    IDLE = "idle"
-    LOADING_HEAD = "loading head"
-    LOADING_SEGMENTS = "loading segments"
-    WRITING_SEGMENT = "writing segment"
-    WRITING_HEAD = "writing head"
-
-
-@dataclass(frozen=True)
-class WaitingClaim:
-    """A claim not yet written.
-
-    ``is_rechecked``: the head was read again since the claim was requested.
-    """
-
-    record: ClaimRecord
-    is_rechecked: bool = False
-
-
-@dataclass(frozen=True)
-class ShardState:
-    """State of one shard's writer in one daemon.
-
-    ``doubtful`` names the claims of which an earlier write got no answer and may
-    have taken effect, or may still.
-    """
-
-    phase: Phase = Phase.IDLE
-    view: ShardView | None = None
-    waiting: tuple[WaitingClaim, ...] = ()
-    outcomes: tuple[OutcomeReported, ...] = ()
-    batch: Batch | None = None
-    doubtful: frozenset[str] = frozenset()
-    spill: Spill | None = None
-    retry_at: float = 0.0
-    claims_due_at: float = 0.0
-    outcomes_due_at: float = 0.0
-
-    @property
-    def due_at(self) -> float:
-        """The instant from which the next write may go out."""
-        return self.claims_due_at if self.waiting else self.outcomes_due_at
-
-
-@dataclass(frozen=True)
-class Step:
-    """A new state and the actions to carry out, in order."""
-
-    state: ShardState
-    actions: tuple[Action, ...] = ()
-
-    def then(self, other: Step) -> Step:
-        """Return the later state ``other`` with the actions of both."""
-        return Step(other.state, self.actions + other.actions)
-
-
 def step(state: ShardState, event: Event, now: float) -> Step:
     """Apply ``event`` at the instant ``now``, in seconds since the Unix epoch."""
     match event:
@@ -287,7 +216,7 @@
     if missing:
         state = replace(state, phase=Phase.LOADING_SEGMENTS)
         return Step(state, (LoadSegments(missing),))
-    resolved = _resolve(state)
+    resolved = resolve(state)
     if resolved.state.view is None:
         return resolved.then(_proceed(resolved.state, now))
     state = resolved.state
@@ -298,67 +227,6 @@
     return resolved.then(_write(state, now))
 
 
-def _resolve(state: ShardState) -> Step:
-    """Answer the waiting claims whose key is known; leave those to be written."""
-    unknown: list[WaitingClaim] = []
-    actions: list[Action] = []
-    claimed: set[bytes] = set()
-    for waiting in state.waiting:
-        record = waiting.record
-        known = _find(state, record.key_digest)
-        if record.key_digest in claimed:
-            reason = RefusalReason.IN_PROGRESS
-            actions.append(RefuseClaim(record.claim_id, reason))
-        elif known is not None and _is_withdrawn(known, record):
-            reason = RefusalReason.WITHDRAWN
-            actions.append(RefuseClaim(record.claim_id, reason))
-        elif known is None or known.is_open_for_claim:
-            claimed.add(record.key_digest)
-            unknown.append(waiting)
-        elif known.claim_id == record.claim_id:
-            actions.append(GrantClaim(record.claim_id))
-        elif known.state is ClaimState.CLAIMED and not waiting.is_rechecked:
-            # The head in memory may be old: the claim may have ended since.
-            return Step(replace(state, view=None, spill=None))
-        else:
-            actions.append(_answer_repeat(record, known))
-    still_waiting = {waiting.record.claim_id for waiting in unknown}
-    state = replace(
-        state,
-        waiting=tuple(unknown),
-        doubtful=state.doubtful & still_waiting,
-    )
-    return Step(state, tuple(actions))
-
-
-def _find(state: ShardState, key_digest: bytes) -> ClaimRecord | None:
-    """Return the newest record of a key, with an outcome that is not written yet."""
-    known = state.view.find(key_digest)
-    if known is None or known.state is not ClaimState.CLAIMED:
-        return known
-    for outcome in state.outcomes:
-        if outcome.record.claim_id == known.claim_id:
-            return closed_record(outcome)
-    return known
-
-
-def _is_withdrawn(known: ClaimRecord, record: ClaimRecord) -> bool:
-    """Tell whether this very claim was closed, by the daemon that asked for it."""
-    return known.claim_id == record.claim_id and known.is_open_for_claim
-
-
-def _answer_repeat(record: ClaimRecord, known: ClaimRecord) -> Action:
-    if known.request_digest != record.request_digest:
-        return RefuseClaim(record.claim_id, RefusalReason.REQUEST_DIFFERS)
-    match known.state:
-        case ClaimState.ANSWERED:
-            return ReplayAnswer(record.claim_id, known)
-        case ClaimState.UNKNOWN:
-            return RefuseClaim(record.claim_id, RefusalReason.OUTCOME_UNKNOWN)
-        case _:
-            return RefuseClaim(record.claim_id, RefusalReason.IN_PROGRESS)
-
-
 def _write(state: ShardState, now: float) -> Step:
     """Write all waiting claims and outcomes, spilling first if the head is full."""
     view = state.view
@@ -404,13 +272,3 @@
 
 def _unavailable(record: ClaimRecord) -> RefuseClaim:
     return RefuseClaim(record.claim_id, RefusalReason.SERVICE_UNAVAILABLE)
-
-
-def unfinished_claims(states: Iterable[ShardState]) -> int:
-    """Count claims and outcomes that the service does not hold yet."""
-    return sum(
-        len(state.waiting)
-        + len(state.outcomes)
-        + (len(state.batch.claims) + len(state.batch.outcomes) if state.batch else 0)
-        for state in states
-    )
--- a/src/amaranthhollow/gateway/admission.py
+++ b/src/amaranthhollow/gateway/admission.py
@@ -16,7 +16,10 @@
 
 
 def admit(node: Node, lifecycle: RequestLifecycle) -> None:
-    """Admit a request, or refuse it at once with the time to come back."""
+    """Admit a request, or refuse it at once with the time to come back.
+
+    A refusal ends the lifecycle and is raised as a ProblemError.
+    """
     workspace = node.configuration.workspaces[lifecycle.workspace]
     daemons = max(1, len(node.membership.active_hosts))
     rate = workspace.requests_per_second / daemons
@@ -24,7 +27,7 @@
     if isinstance(decision, Refuse):
         node.counters.increment("requests.refused_by_limit")
         detail = f"The workspace {lifecycle.workspace!r} sends more than its rate."
-        raise _refused(node, decision, 429, "over-budget", detail)
+        raise _refused(node, lifecycle, decision, 429, "over-budget", detail)
     decision = node.fair_share(lifecycle.deployment).admit(
         lifecycle.workspace,
         {name: w.weight for name, w in node.configuration.workspaces.items()},
@@ -34,7 +37,7 @@
     if isinstance(decision, Refuse):
         node.counters.increment("requests.refused_by_share")
         detail = f"The deployment {lifecycle.deployment!r} is busy."
-        raise _refused(node, decision, 503, "busy", detail)
+        raise _refused(node, lifecycle, decision, 503, "busy", detail)
     lifecycle.advance("admit")
     node.counters.increment("requests.admitted")
     node.retry_budget = node.retry_budget.earned()
@@ -50,8 +53,14 @@
 
 
 def _refused(
-    node: Node, refusal: Refuse, status: int, kind: str, detail: str
+    node: Node,
+    lifecycle: RequestLifecycle,
+    refusal: Refuse,
+    status: int,
+    kind: str,
+    detail: str,
 ) -> ProblemError:
+    lifecycle.end(Outcome.NOT_RUN)
     return ProblemError(
         Problem(
             status=status,
--- a/src/amaranthhollow/gateway/app.py
+++ b/src/amaranthhollow/gateway/app.py
@@ -13,7 +13,7 @@
     CompletionResource,
     ModelListResource,
 )
-from amaranthhollow.gateway.problems import Problem, ProblemError, render
+from amaranthhollow.gateway.problems import Problem, ProblemError, defect, render
 from amaranthhollow.gateway.service_resource import PREFIX, ServiceSink
 from amaranthhollow.gateway.stream_lookup import StreamLookup
 
@@ -122,11 +122,4 @@
     params: dict[str, str],
 ) -> None:
     log.exception("unhandled error in {} {}", request.method, request.path)
-    problem = Problem(
-        status=500,
-        kind="internal-error",
-        title="The system failed",
-        detail="The request could not be handled; it may have been run.",
-        outcome=Outcome.UNKNOWN,
-    )
-    render(response, problem)
+    render(response, defect(Outcome.UNKNOWN))
--- a/src/amaranthhollow/gateway/model_calls.py
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -18,7 +18,7 @@
 from amaranthhollow.decisions.routing import prefix_key
 from amaranthhollow.endpoints.engine import AttemptFailed, EngineRequest
 from amaranthhollow.gateway.losses import note_loss
-from amaranthhollow.gateway.problems import Problem
+from amaranthhollow.gateway.problems import Problem, quarantined
 from amaranthhollow.gateway.suspects import suspect_slot
 
 if TYPE_CHECKING:
@@ -272,15 +272,3 @@
             outcome=Outcome.NOT_RUN if is_unsent else Outcome.FAILED,
             retry_after_seconds=self._node.retry_after_seconds(1.0),
         )
-
-
-def quarantined() -> Problem:
-    """Return the final answer to a request that crashed endpoints."""
-    return Problem(
-        status=422,
-        kind="quarantined",
-        title="The request is quarantined",
-        detail="This request was running at more than one endpoint that crashed; "
-        "it is not run again.",
-        outcome=Outcome.FAILED,
-    )
--- a/src/amaranthhollow/gateway/model_resource.py
+++ b/src/amaranthhollow/gateway/model_resource.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 from uuid import uuid4
 
 import logbook
 import msgspec
-from falcon.asgi import SSEvent
 
+from amaranthhollow.configuration.model import ModelDeployment
 from amaranthhollow.decisions.claim_records import digest
 from amaranthhollow.decisions.retries import Outcome
 from amaranthhollow.gateway.admission import admit
+from amaranthhollow.gateway.answers import ModelEntry, ModelList, new_format
 from amaranthhollow.gateway.lifecycle import RequestLifecycle
 from amaranthhollow.gateway.live_streams import LiveStream
 from amaranthhollow.gateway.model_calls import ModelCall
-from amaranthhollow.gateway.problems import Problem, ProblemError, invalid
+from amaranthhollow.gateway.problems import (
+    Problem,
+    ProblemError,
+    defect,
+    invalid,
+)
 from amaranthhollow.gateway.requests import (
     idempotency_key,
     parse_model_request,
@@ -27,12 +32,10 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     import falcon.asgi
 
     from amaranthhollow.daemon.node import Node
-    from amaranthhollow.decisions.streams import Emitted
+    from amaranthhollow.gateway.answers import AnswerFormat
     from amaranthhollow.gateway.live_streams import StreamRegistry
     from amaranthhollow.gateway.requests import ModelRequest
     from amaranthhollow.gateway.stream_lookup import StreamLookup
@@ -44,51 +47,6 @@
 LAST_EVENT_HEADER = "Last-Event-ID"
 
 
-@dataclass(frozen=True)
-class _Answer:
-    """What the chunks of one answer have in common."""
-
-    answer_id: str
-    created: int
-    request: ModelRequest
-
-    def chunk(self, choices: list[dict[str, Any]]) -> dict[str, Any]:
-        kind = "chat.completion.chunk" if self.request.is_chat else "text_completion"
-        return {
-            "id": self.answer_id,
-            "object": kind,
-            "created": self.created,
-            "model": self.request.model,
-            "choices": choices,
-        }
-
-    def event(self, event: Emitted) -> dict[str, Any]:
-        """Return one token as a chunk."""
-        finish_reason = event.end.value if event.end else None
-        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
-        if self.request.is_chat:
-            choice["delta"] = {"content": event.text}
-            if event.event_id == 1:
-                choice["delta"]["role"] = "assistant"
-        else:
-            choice["text"] = event.text
-        return self.chunk([choice])
-
-    def whole(self, stream: LiveStream) -> dict[str, Any]:
-        """Return the complete answer as one document."""
-        text = stream.assembler.text
-        finish_reason = stream.assembler.emitted[-1].end.value
-        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
-        if self.request.is_chat:
-            choice["message"] = {"role": "assistant", "content": text}
-        else:
-            choice["text"] = text
-        document = self.chunk([choice])
-        if self.request.is_chat:
-            document["object"] = "chat.completion"
-        return {**document, "usage": _usage(stream)}
-
-
 class CompletionResource:
     """``POST /v1/completions`` and ``POST /v1/chat/completions``."""
 
@@ -139,12 +97,12 @@
         await stream.wait_until(after_id)
         if stream.problem is not None and stream.assembler.position <= after_id:
             raise ProblemError(stream.problem)
-        answer = _Answer(_answer_id(self._is_chat), int(node.now()), parsed)
+        answer_format = new_format(parsed, node.now())
         if parsed.is_streamed:
             response.set_header("Cache-Control", "no-cache")
-            response.sse = _events(answer, stream, after_id)
+            response.sse = answer_format.events(stream, after_id)
         else:
-            await self._render_whole(response, answer, stream)
+            await self._render_whole(response, answer_format, stream)
 
     async def _rejoin(
         self, key_digest: bytes | None, after_id: int
@@ -186,10 +144,13 @@
             self._node.counters.increment("streams.interrupted")
         elif production.exception() is not None:
             log.error("producing an answer failed: {!r}", production.exception())
-            stream.end(_defect())
+            stream.end(defect(Outcome.FAILED))
 
     async def _render_whole(
-        self, response: falcon.asgi.Response, answer: _Answer, stream: LiveStream
+        self,
+        response: falcon.asgi.Response,
+        answer_format: AnswerFormat,
+        stream: LiveStream,
     ) -> None:
         async for _ in stream.follow(0):
             pass
@@ -198,7 +159,7 @@
         if not stream.is_complete:
             raise ProblemError(_interrupted(self._node))
         response.content_type = "application/json"
-        response.data = msgspec.json.encode(answer.whole(stream))
+        response.data = answer_format.whole(stream)
 
 
 class ModelListResource:
@@ -214,45 +175,13 @@
         """Answer with the models."""
         configuration = self._node.configuration
         workspace_of(request, configuration)
-        models = [
-            {"id": deployment.model, "object": "model", "created": 0, "owned_by": name}
+        models = tuple(
+            ModelEntry(deployment.model, owned_by=name)
             for name, deployment in configuration.deployments.items()
-            if deployment.kind == "model"
-        ]
+            if isinstance(deployment, ModelDeployment)
+        )
         response.content_type = "application/json"
-        response.data = msgspec.json.encode({"object": "list", "data": models})
-
-
-async def _events(
-    answer: _Answer, stream: LiveStream, after_id: int
-) -> AsyncIterator[SSEvent]:
-    """Yield the stream as server-sent events, each with an id."""
-    last_id = after_id
-    async for event in stream.follow(after_id):
-        last_id = event.event_id
-        data = msgspec.json.encode(answer.event(event))
-        yield SSEvent(data=data, event_id=str(last_id))
-    if stream.problem is not None:
-        document = {"error": stream.problem.document()}
-        yield SSEvent(data=msgspec.json.encode(document), event_id=str(last_id))
-        return
-    if not stream.is_complete:
-        # The caller sees no end, and fetches the rest at another daemon.
-        return
-    if answer.request.includes_usage:
-        last_id += 1
-        document = {**answer.chunk([]), "usage": _usage(stream)}
-        yield SSEvent(data=msgspec.json.encode(document), event_id=str(last_id))
-    yield SSEvent(data=b"[DONE]", event_id=str(last_id + 1))
-
-
-def _usage(stream: LiveStream) -> dict[str, int]:
-    completion_tokens = stream.assembler.position
-    return {
-        "prompt_tokens": stream.prompt_tokens,
-        "completion_tokens": completion_tokens,
-        "total_tokens": stream.prompt_tokens + completion_tokens,
-    }
+        response.data = msgspec.json.encode(ModelList(models))
 
 
 def _stream_key(
@@ -264,16 +193,6 @@
     return digest(workspace, deployment, key, request.prompt_text, tokens, sampling)
 
 
-def _defect() -> Problem:
-    return Problem(
-        status=500,
-        kind="internal-error",
-        title="The system failed",
-        detail="The answer could not be produced.",
-        outcome=Outcome.FAILED,
-    )
-
-
 def _interrupted(node: Node) -> Problem:
     return Problem(
         status=503,
@@ -285,10 +204,6 @@
     )
 
 
-def _answer_id(is_chat: bool) -> str:
-    return f"{'chatcmpl' if is_chat else 'cmpl'}-{uuid4().hex}"
-
-
 def _last_event_id(request: falcon.asgi.Request) -> int:
     text = request.get_header(LAST_EVENT_HEADER)
     if text is None:
--- a/src/amaranthhollow/gateway/problems.py
+++ b/src/amaranthhollow/gateway/problems.py
@@ -12,7 +12,14 @@
 if TYPE_CHECKING:
     import falcon.asgi
 
-__all__ = ["Problem", "ProblemError", "invalid", "render"]
+__all__ = [
+    "Problem",
+    "ProblemError",
+    "defect",
+    "invalid",
+    "quarantined",
+    "render",
+]
 
 CONTENT_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:amaranthhollow:problem:"
@@ -70,6 +77,29 @@
     )
 
 
+def defect(outcome: Outcome) -> Problem:
+    """Return the answer to a request that met a defect of the system."""
+    return Problem(
+        status=500,
+        kind="internal-error",
+        title="The system failed",
+        detail="The request could not be handled.",
+        outcome=outcome,
+    )
+
+
+def quarantined() -> Problem:
+    """Return the final answer to a request that crashed endpoints."""
+    return Problem(
+        status=422,
+        kind="quarantined",
+        title="The request is quarantined",
+        detail="This request was running at more than one endpoint that crashed; "
+        "it is not run again.",
+        outcome=Outcome.FAILED,
+    )
+
+
 def render(response: falcon.asgi.Response, problem: Problem) -> None:
     """Write ``problem`` to an HTTP response."""
     response.status = problem.status
--- a/src/amaranthhollow/gateway/service_calls.py
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -24,8 +24,7 @@
 from amaranthhollow.decisions.retries import AttemptFailure, Outcome
 from amaranthhollow.endpoints.service import ServiceAnswer
 from amaranthhollow.gateway.losses import note_loss
-from amaranthhollow.gateway.model_calls import quarantined
-from amaranthhollow.gateway.problems import Problem, ProblemError
+from amaranthhollow.gateway.problems import Problem, ProblemError, quarantined
 from amaranthhollow.gateway.suspects import suspect_slot
 
 if TYPE_CHECKING:
--- a/src/amaranthhollow/gateway/service_resource.py
+++ b/src/amaranthhollow/gateway/service_resource.py
@@ -80,8 +80,8 @@
             detail = f"{request.method} {path} needs an Idempotency-Key header."
             raise invalid("Idempotency-Key", detail)
         lifecycle = RequestLifecycle(node, workspace, name)
+        admit(node, lifecycle)
         try:
-            admit(node, lifecycle)
             call = call_once if is_once else call_idempotent
             answer = await call(node, service_request, lifecycle)
         except ProblemError as error:
--- a/src/amaranthhollow/platform/claim_store.py
+++ b/src/amaranthhollow/platform/claim_store.py
@@ -45,7 +45,8 @@
     encode_segment,
     shard_of,
 )
-from amaranthhollow.decisions.claims import ShardState, step, unfinished_claims
+from amaranthhollow.decisions.claim_state import ShardState, unfinished_claims
+from amaranthhollow.decisions.claims import step
 from amaranthhollow.platform.key_value import CallFailure
 
 if TYPE_CHECKING:
--- a/tests/decisions/claims_model.py
+++ b/tests/decisions/claims_model.py
@@ -32,7 +32,8 @@
     ClaimState,
     digest,
 )
-from amaranthhollow.decisions.claims import ShardState, step
+from amaranthhollow.decisions.claim_state import ShardState
+from amaranthhollow.decisions.claims import step
 
 RETENTION_SECONDS = 1000.0
 DEADLINE_SECONDS = 100.0
