Read the host list a bounded number of times a second

Ruled out: a few chosen readers; each daemon has to read at its start, and a reader that hangs would have to be noticed. Change: the interval grows with the number of daemons, 16 reads a second in all. Notices for entry hosts spread by gossip, with the incarnation of the host, so that a daemon on its replacement does not drain. Before: a daemon that cannot read the list misses its own host's notice. At up to 16 daemons the list is read every second, as before.

--- a/src/amaranthhollow/daemon/discovery.py
+++ b/src/amaranthhollow/daemon/discovery.py
@@ -11,7 +11,13 @@
 
 from amaranthhollow.decisions.endpoints import EndpointStatus, ListedEndpoint
 from amaranthhollow.decisions.gossip import LOAD_FACT, Fact, Version
-from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus
+from amaranthhollow.decisions.membership import (
+    RECLAIM_FACT,
+    DaemonInfo,
+    DaemonStatus,
+    HostReclaim,
+    list_interval,
+)
 from amaranthhollow.decisions.rendezvous import owner
 from amaranthhollow.decisions.routing import LoadReport
 
@@ -25,7 +31,8 @@
 
 __all__ = ["Discovery"]
 
-LIST_SECONDS = 1.0
+NOTICE_SECONDS = 0.25
+RECLAIM_RETENTION_SECONDS = 600.0
 LOAD_SECONDS = 0.5
 
 log = logbook.Logger("discovery")
@@ -45,12 +52,20 @@
         self._node = node
         self._gossiping = gossiping
         self._is_list_available = True
+        self._own_incarnation: int | None = None
 
     async def run(self) -> None:
         """Read the list at each interval, until cancelled."""
         while True:
             await self.read_list()
-            await asyncio.sleep(LIST_SECONDS)
+            interval = list_interval(len(self._node.membership.hosts))
+            await asyncio.sleep(interval * self._node.random.uniform(0.9, 1.1))
+
+    async def run_notice(self) -> None:
+        """Look out for the reclaim of this daemon's own host, until cancelled."""
+        while True:
+            await asyncio.sleep(NOTICE_SECONDS)
+            self.check_own_host()
 
     async def run_load(self) -> None:
         """Poll the load of the engines that this daemon owns, until cancelled."""
@@ -69,7 +84,7 @@
     def _learn(self, listing: HostListing) -> None:
         node = self._node
         entries = [h for h in listing.hosts if h.role == "entry"]
-        self._check_own_host([*entries, *listing.notices])
+        self._publish_reclaims([*entries, *listing.notices])
         for entry in entries:
             info = DaemonInfo(entry.address, entry.data_centre, DaemonStatus.ALIVE)
             node.membership.learn_listed(entry.host, info, node.now())
@@ -84,12 +99,35 @@
         )
         self._gossiping.publish(fact for fact in notices if fact is not None)
 
-    def _check_own_host(self, entries: list[HostEntry]) -> None:
+    def check_own_host(self) -> None:
         """Begin a shutdown when this daemon's own host is to be reclaimed."""
+        fact = self._node.membership.table.get(RECLAIM_FACT, self._node.settings.host)
+        if fact is None or self._own_incarnation is None:
+            return
+        reclaim = msgspec.msgpack.decode(fact.value, type=HostReclaim)
+        if reclaim.incarnation == self._own_incarnation:
+            self._on_reclaim(reclaim.leaves_at)
+
+    def _publish_reclaims(self, entries: list[HostEntry]) -> None:
+        """Tell all daemons which of their hosts are to be reclaimed."""
+        facts = []
         for entry in entries:
-            is_own = entry.host == self._node.settings.host
-            if is_own and entry.state == "leaving" and entry.leaves_at:
-                self._on_reclaim(entry.leaves_at)
+            if entry.host == self._node.settings.host:
+                self._own_incarnation = entry.incarnation
+            if entry.role == "entry" and entry.state == "leaving" and entry.leaves_at:
+                reclaim = HostReclaim(entry.incarnation, entry.leaves_at)
+                value = msgspec.msgpack.encode(reclaim)
+                version = Version(entry.incarnation)
+                facts.append(Fact(RECLAIM_FACT, entry.host, version, value))
+        self._gossiping.publish(facts)
+        self._forget_old_reclaims()
+
+    def _forget_old_reclaims(self) -> None:
+        node = self._node
+        for fact in node.membership.table.facts(RECLAIM_FACT):
+            reclaim = msgspec.msgpack.decode(fact.value, type=HostReclaim)
+            if reclaim.leaves_at + RECLAIM_RETENTION_SECONDS <= node.now():
+                node.membership.table.remove(RECLAIM_FACT, fact.name)
 
     def _polls(self, endpoint: Endpoint) -> bool:
         node = self._node
--- a/src/amaranthhollow/daemon/gossiping.py
+++ b/src/amaranthhollow/daemon/gossiping.py
@@ -96,6 +96,9 @@
                 case "configuration":
                     entry = msgspec.json.decode(fact.value, type=HeadEntry)
                     self._on_revision(entry, sender)
+                case "reclaim":
+                    node.counters.increment("hosts.reclaim_noticed")
+                    log.info("host {} is to be reclaimed", fact.name)
                 case "crash":
                     self._apply_evidence(fact)
                 case "load":
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -117,6 +117,7 @@
         return [
             self._discovery.run(),
             self._discovery.run_load(),
+            self._discovery.run_notice(),
             self._gossiping.run(),
             self._configuration.run(),
             self._configuration.run_watch(),
--- a/src/amaranthhollow/decisions/membership.py
+++ b/src/amaranthhollow/decisions/membership.py
@@ -18,9 +18,20 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["DAEMON_FACT", "DaemonInfo", "DaemonStatus", "Membership"]
+__all__ = [
+    "DAEMON_FACT",
+    "RECLAIM_FACT",
+    "DaemonInfo",
+    "DaemonStatus",
+    "HostReclaim",
+    "Membership",
+    "list_interval",
+]
 
 DAEMON_FACT = "daemon"
+RECLAIM_FACT = "reclaim"
+LIST_INTERVAL_SECONDS = 1.0
+LIST_READS_PER_SECOND = 16.0
 SUSPICION_SECONDS = 3.0
 
 
@@ -41,6 +52,22 @@
     status: DaemonStatus
 
 
+class HostReclaim(msgspec.Struct, frozen=True, array_like=True):
+    """The notice for an entry host: it leaves at ``leaves_at`` (epoch seconds)."""
+
+    incarnation: int
+    leaves_at: float
+
+
+def list_interval(daemon_count: int) -> float:
+    """Return how many seconds a daemon waits between reads of the host list.
+
+    All daemons together read it a bounded number of times a second, and tell each
+    other what is new: ``list_interval(9)`` is 1.0, ``list_interval(370)`` 23.1.
+    """
+    return max(LIST_INTERVAL_SECONDS, daemon_count / LIST_READS_PER_SECOND)
+
+
 class Membership:
     """The members that one daemon knows; the table of facts is the state."""
 
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -14,7 +14,12 @@
     choose_partners,
     select_peers,
 )
-from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
+from amaranthhollow.decisions.membership import (
+    DaemonInfo,
+    DaemonStatus,
+    Membership,
+    list_interval,
+)
 
 FACTS = st.lists(
     st.builds(
@@ -142,6 +147,11 @@
     assert all(len(member.hosts) == 6 for member in group.values())
 
 
+def test_reads_of_the_host_list_stay_bounded_as_daemons_are_added():
+    assert list_interval(9) == 1.0
+    assert 370 / list_interval(370) == 16.0
+
+
 def test_drained_daemon_that_no_longer_answers_is_lost_at_once():
     group = members(2)
     group["h1"].drain()
--- a/tests/invariants/test_planned_stops.py
+++ b/tests/invariants/test_planned_stops.py
@@ -137,6 +137,22 @@
     assert await stop(site, "entry-1") == 0
 
 
+async def test_notice_for_a_host_reaches_its_daemon_through_a_peer(pair):
+    """The daemon itself cannot read the list when the notice comes."""
+    process = pair.processes_by_name["entry-1"]
+    process.send(signal.SIGSTOP)
+    await pair.notify(["entry-1"], seconds=6.0)
+    await pair.until(lambda: knows_reclaim(pair), "entry-2 has read the notice")
+    await pair.faults(pair.cloud_url, down=True)
+    process.send(signal.SIGCONT)
+    assert await asyncio.to_thread(process.wait) == 0
+
+
+async def knows_reclaim(pair):
+    counters = (await pair.state("entry-2"))["counters_by_name"]
+    return counters.get("hosts.reclaim_noticed", 0) > 0
+
+
 async def test_drain_command_stops_a_daemon(pair):
     drained = await pair.tool("drain", "entry-2")
     assert drained.returncode == 0
