--- a/examples/quickstart.py
+++ b/examples/quickstart.py
@@ -37,6 +37,8 @@
     )
     for name in DAEMONS:
         await site.start_daemon(name, waits=False)
+    for name in DAEMONS:
+        await site.wait_for(f"{site.url(name)}/live")
     print(f"started: {', '.join(site.processes_by_name)}")
 
 
