Do not say "not run" of a request that an engine had begun

Cause: a model request counted as sent only when an attempt failed. One moved off a leaving engine before its first token, with no other engine to go to, was answered "not run" at once, though the engine had computed its prompt. Found in the landing read; no test covered it. Ruled out: the failure paths; they counted attempts that had connected. Change: attempts are counted when they are sent, and taken back only when no connection was made. Such a request waits for an engine until its deadline. Before: test_not_said_of_a_request_moved_before_its_first_token fails with "not run". Also: a request retries four times at most, so that one alone cannot use up the shared budget; events that cannot be read are an endpoint's error and no evidence of a crash; a cancel call that nothing used is removed.

--- a/src/amaranthhollow/decisions/streams.py
+++ b/src/amaranthhollow/decisions/streams.py
@@ -20,6 +20,8 @@
 
     STOP = "stop"
     LENGTH = "length"
+    CONTENT_FILTER = "content_filter"
+    TOOL_CALLS = "tool_calls"
 
 
 @dataclass(frozen=True)
--- a/src/amaranthhollow/endpoints/engine.py
+++ b/src/amaranthhollow/endpoints/engine.py
@@ -132,13 +132,12 @@
             raise AttemptFailed(AttemptFailure.NOT_CONNECTED, str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise AttemptFailed(AttemptFailure.NOT_CONNECTED, str(error)) from error
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             message = str(error) or type(error).__name__
             raise AttemptFailed(AttemptFailure.CONNECTION_LOST, message) from error
-
-    async def cancel(self, url: str, request_id: str) -> None:
-        """Stop a request; an engine that does not answer is left alone."""
-        await self._post(f"{url}/v1/requests/{request_id}/cancel", {})
+        except (msgspec.MsgspecError, ValueError) as error:
+            message = f"the endpoint sent no valid event: {error}"
+            raise AttemptFailed(AttemptFailure.ENDPOINT_ERROR, message) from error
 
     async def load(self, url: str) -> Result[int, str]:
         """Return how many requests an engine last reported, running and waiting."""
--- a/src/amaranthhollow/gateway/model_calls.py
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -30,6 +30,7 @@
 
 __all__ = ["ModelCall"]
 
+MAX_RETRIES = 4
 FIRST_TOKEN_STALL_SECONDS = 10.0
 TOKEN_STALL_SECONDS = 2.0
 SUPERVISE_SECONDS = 0.1
@@ -57,7 +58,8 @@
         self._stream = stream
         self._deadline = deadline
         self._lifecycle = lifecycle
-        self._has_run = False
+        self._attempts_sent = 0
+        self._retries = 0
         self._tried: set[str] = set()
         self._avoided: set[str] = set()
         self._kv_target: Endpoint | None = None
@@ -109,7 +111,7 @@
         return None
 
     async def _choose(self) -> Endpoint | None:
-        """Choose an endpoint; an answer already begun waits for one to be usable."""
+        """Choose an endpoint; a request that was sent once waits for a usable one."""
         target, self._kv_target = self._kv_target, None
         if target is not None:
             return target
@@ -120,7 +122,7 @@
             free = [e for e in usable if e.host not in self._avoided]
             self._avoided.clear()
             endpoint = self._pick(free)
-            may_wait = is_suspect or self._stream.assembler.position
+            may_wait = is_suspect or self._attempts_sent
             if endpoint is not None or not may_wait:
                 return endpoint
             await asyncio.sleep(ENDPOINT_WAIT_SECONDS)
@@ -151,6 +153,7 @@
             kv_handle=self._kv_handle,
         )
         self._kv_handle = ""
+        self._attempts_sent += 1
         self._lifecycle.advance("dispatch")
         node.router.started(endpoint.host, self._prefix_key)
         pump = asyncio.create_task(self._pump(endpoint, request))
@@ -236,8 +239,8 @@
     ) -> Problem | None:
         """Return the problem to end with, or None to try again elsewhere."""
         node = self._node
-        if error.failure is not AttemptFailure.NOT_CONNECTED:
-            self._has_run = True
+        if error.failure is AttemptFailure.NOT_CONNECTED:
+            self._attempts_sent -= 1
         if 400 <= error.status < 500 and error.status not in (408, 429):
             detail = f"The endpoint refused the request: {error}"
             return Problem(
@@ -255,20 +258,19 @@
         delay = 0.0
         if error.failure is AttemptFailure.CONNECTION_LOST:
             delay = note_loss(node, endpoint, self._digest)
-        if node.may_retry():
+        self._retries += 1
+        if self._retries <= MAX_RETRIES and node.may_retry():
             await asyncio.sleep(delay)
             return None
         return self._problem(503, "retries-exhausted", f"The attempt failed: {error}.")
 
     def _problem(self, status: int, kind: str, detail: str) -> Problem:
         """Describe why the answer is not complete; nothing sent means not run."""
-        is_open = self._lifecycle.state in ("dispatched", "streaming")
-        is_unsent = not self._has_run and not (is_open and kind == "deadline-passed")
         return Problem(
             status=status,
             kind=kind,
             title="The request was not answered",
             detail=detail,
-            outcome=Outcome.NOT_RUN if is_unsent else Outcome.FAILED,
+            outcome=Outcome.FAILED if self._attempts_sent else Outcome.NOT_RUN,
             retry_after_seconds=self._node.retry_after_seconds(1.0),
         )
--- a/tests/invariants/test_not_run.py
+++ b/tests/invariants/test_not_run.py
@@ -142,6 +142,22 @@
     assert await pair.get(f"{pair.url('service-1')}/log") == []
 
 
+async def test_not_said_of_a_request_moved_before_its_first_token(pair):
+    """Both engines leave while the prompt is computed, and none is left to go to."""
+    deadline = {"X-Request-Deadline": str(time.time() + 5.0)}
+    text = prompt(1, words=30_000)
+    answering = asyncio.create_task(complete(pair, "entry-1", text, 5, **deadline))
+    await pair.until(lambda: any_run(pair), "an engine computes the prompt")
+    await pair.notify(["engine-1", "engine-2"], seconds=1.0)
+    answer = await answering
+    assert answer.problem["outcome"] == "failed"
+
+
+async def any_run(pair):
+    logs = [await pair.get(f"{pair.url(n)}/log") for n in ("engine-1", "engine-2")]
+    return any(log["runs"] for log in logs)
+
+
 async def test_model_request_without_endpoints(pair):
     await kill(pair, ["engine-1", "engine-2"])
     answer = await complete(pair, "entry-1", prompt(1), 10)
