--- a/src/amaranthhollow/gateway/admission.py
+++ b/src/amaranthhollow/gateway/admission.py
@@ -9,18 +9,22 @@
 from amaranthhollow.gateway.problems import Problem, ProblemError
 
 if TYPE_CHECKING:
+    from amaranthhollow.configuration.model import Configuration
     from amaranthhollow.daemon.node import Node
     from amaranthhollow.gateway.lifecycle import RequestLifecycle
 
 __all__ = ["admit"]
 
 
-def admit(node: Node, lifecycle: RequestLifecycle) -> None:
+def admit(
+    node: Node, lifecycle: RequestLifecycle, configuration: Configuration
+) -> None:
     """Admit a request, or refuse it at once with the time to come back.
 
-    A refusal ends the lifecycle and is raised as a ProblemError.
+    ``configuration`` is the one that the request was checked against; another may be
+    in force by now. A refusal ends the lifecycle and is raised as a ProblemError.
     """
-    workspace = node.configuration.workspaces[lifecycle.workspace]
+    workspace = configuration.workspaces[lifecycle.workspace]
     daemons = max(1, len(node.membership.active_hosts))
     rate = workspace.requests_per_second / daemons
     decision = node.limiter.admit(lifecycle.workspace, rate, node.now())
@@ -30,7 +34,7 @@
         raise _refused(node, lifecycle, decision, 429, "over-budget", detail)
     decision = node.fair_share(lifecycle.deployment).admit(
         lifecycle.workspace,
-        {name: w.weight for name, w in node.configuration.workspaces.items()},
+        {name: w.weight for name, w in configuration.workspaces.items()},
         _capacity(node, lifecycle.deployment, daemons),
         node.now(),
     )
--- a/src/amaranthhollow/gateway/model_resource.py
+++ b/src/amaranthhollow/gateway/model_resource.py
@@ -85,14 +85,13 @@
         after_id = _last_event_id(request)
         key_digest = _stream_key(workspace, deployment, key, parsed) if key else None
         stream = await self._rejoin(key_digest, after_id)
-        if stream is None:
+        if stream is None or not (stream.is_ended or stream.has_producer):
             lifecycle = RequestLifecycle(node, workspace, deployment)
-            admit(node, lifecycle)
-            stream = self._begin(parsed, lifecycle, deadline, key_digest, None)
-        elif not stream.is_ended and not stream.has_producer:
-            # The rest of an answer that was admitted before is not refused.
-            lifecycle = RequestLifecycle(node, workspace, deployment)
-            lifecycle.advance("admit")
+            if stream is None:
+                admit(node, lifecycle, configuration)
+            else:
+                # The rest of an answer that was admitted before is not refused.
+                lifecycle.advance("admit")
             stream = self._begin(parsed, lifecycle, deadline, key_digest, stream)
         await stream.wait_until(after_id)
         if stream.problem is not None and stream.assembler.position <= after_id:
--- a/src/amaranthhollow/gateway/service_resource.py
+++ b/src/amaranthhollow/gateway/service_resource.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     import falcon.asgi
 
+    from amaranthhollow.configuration.model import Configuration
     from amaranthhollow.daemon.node import Node
 
 __all__ = ["PREFIX", "ServiceSink"]
@@ -47,43 +48,16 @@
         **_: str,
     ) -> None:
         """Pass a call on to an endpoint of its service."""
-        node = self._node
-        configuration = node.configuration
-        workspace = workspace_of(request, configuration)
-        name, path = _split(request.path)
-        raw_path = request.scope.get("raw_path", request.path.encode()).decode(
-            "latin-1"
+        configuration = self._node.configuration
+        service_request = await self._read(request, configuration)
+        is_once = _is_once(request, service_request, configuration)
+        lifecycle = RequestLifecycle(
+            self._node, service_request.workspace, service_request.deployment
         )
-        deployment = configuration.deployments.get(name)
-        if not isinstance(deployment, ServiceDeployment):
-            raise invalid("service", f"The service {name!r} does not exist.", 404)
-        if request.method not in METHODS:
-            detail = f"The method {request.method!r} is not passed on."
-            raise invalid("method", detail, 405)
-        body = await read_body(request, configuration.requests)
-        deadline = request_deadline(request, configuration.requests, node.now())
-        service_request = ServiceRequest(
-            workspace=workspace,
-            deployment=name,
-            call=ServiceCall(
-                method=request.method,
-                path=_split(raw_path)[1],
-                query=request.query_string,
-                headers=_headers(request, deadline),
-                body=body,
-                deadline=deadline,
-            ),
-            idempotency_key=idempotency_key(request),
-        )
-        is_once = deployment.is_non_idempotent(request.method, path)
-        if is_once and service_request.idempotency_key is None:
-            detail = f"{request.method} {path} needs an Idempotency-Key header."
-            raise invalid("Idempotency-Key", detail)
-        lifecycle = RequestLifecycle(node, workspace, name)
-        admit(node, lifecycle)
+        admit(self._node, lifecycle, configuration)
         try:
             call = call_once if is_once else call_idempotent
-            answer = await call(node, service_request, lifecycle)
+            answer = await call(self._node, service_request, lifecycle)
         except ProblemError as error:
             lifecycle.end(error.problem.outcome)
             raise
@@ -91,6 +65,46 @@
         response.content_type = answer.content_type or None
         response.data = answer.body
 
+    async def _read(
+        self, request: falcon.asgi.Request, configuration: Configuration
+    ) -> ServiceRequest:
+        """Check a call on a service that exists."""
+        workspace = workspace_of(request, configuration)
+        name, _ = _split(request.path)
+        if not isinstance(configuration.deployments.get(name), ServiceDeployment):
+            raise invalid("service", f"The service {name!r} does not exist.", 404)
+        if request.method not in METHODS:
+            detail = f"The method {request.method!r} is not passed on."
+            raise invalid("method", detail, 405)
+        body = await read_body(request, configuration.requests)
+        deadline = request_deadline(request, configuration.requests, self._node.now())
+        raw_path = request.scope.get("raw_path", request.path.encode())
+        call = ServiceCall(
+            method=request.method,
+            path=_split(raw_path.decode("latin-1"))[1],
+            query=request.query_string,
+            headers=_headers(request, deadline),
+            body=body,
+            deadline=deadline,
+        )
+        return ServiceRequest(workspace, name, call, idempotency_key(request))
+
+
+def _is_once(
+    request: falcon.asgi.Request,
+    service_request: ServiceRequest,
+    configuration: Configuration,
+) -> bool:
+    """Tell whether the call runs at most once; such a call needs a key."""
+    deployment = configuration.deployments[service_request.deployment]
+    path = _split(request.path)[1]
+    if not deployment.is_non_idempotent(request.method, path):
+        return False
+    if service_request.idempotency_key is None:
+        detail = f"{request.method} {path} needs an Idempotency-Key header."
+        raise invalid("Idempotency-Key", detail)
+    return True
+
 
 def _split(path: str) -> tuple[str, str]:
     """Split ``/services/filings/v1/x`` into ``filings`` and ``/v1/x``."""
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from amaranthhollow.decisions.gossip import (
@@ -21,6 +22,8 @@
     list_interval,
 )
 
+pytestmark = pytest.mark.invariant
+
 FACTS = st.lists(
     st.builds(
         Fact,
--- a/tests/decisions/test_policies.py
+++ b/tests/decisions/test_policies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from amaranthhollow.decisions.endpoints import (
     EndpointStatus,
     EndpointTable,
@@ -31,6 +33,8 @@
 from amaranthhollow.decisions.retries import RetryBudget
 from amaranthhollow.decisions.routing import BOUNDED_LOAD_FACTOR, Router, prefix_key
 
+pytestmark = pytest.mark.invariant
+
 
 def listed(host, **changes):
     values = {
