--- a/src/amaranthhollow/cli/config_commands.py
+++ b/src/amaranthhollow/cli/config_commands.py
@@ -28,7 +28,7 @@
 from amaranthhollow.cli.revision_push import tell_daemons
 from amaranthhollow.configuration.sources import read_sources
 from amaranthhollow.decisions.configuration import Body, HeadEntry, RevisionHead
-from amaranthhollow.platform.configuration_store import (
+from amaranthhollow.state.configuration_store import (
     Accepted,
     Refused,
     Superseded,
--- a/src/amaranthhollow/cli/context.py
+++ b/src/amaranthhollow/cli/context.py
@@ -14,10 +14,10 @@
 import msgspec
 from result import Err
 
-from amaranthhollow.platform.configuration_store import ConfigurationStore
-from amaranthhollow.platform.host_list import HostListClient
-from amaranthhollow.platform.key_value import KeyValueClient
 from amaranthhollow.settings.model import read_operator_settings
+from amaranthhollow.state.configuration_store import ConfigurationStore
+from amaranthhollow.state.host_list import HostListClient
+from amaranthhollow.state.key_value import KeyValueClient
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
--- a/src/amaranthhollow/cli/host_commands.py
+++ b/src/amaranthhollow/cli/host_commands.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from amaranthhollow.platform.host_list import HostEntry
+    from amaranthhollow.state.host_list import HostEntry
 
 __all__ = ["drain", "state", "status"]
 
--- a/src/amaranthhollow/daemon/configuration_sync.py
+++ b/src/amaranthhollow/daemon/configuration_sync.py
@@ -20,7 +20,7 @@
     from amaranthhollow.daemon.gossiping import Gossiping
     from amaranthhollow.daemon.node import Node
     from amaranthhollow.decisions.configuration import HeadEntry, RevisionHead
-    from amaranthhollow.platform.configuration_store import ConfigurationStore
+    from amaranthhollow.state.configuration_store import ConfigurationStore
 
 __all__ = ["ConfigurationSync"]
 
--- a/src/amaranthhollow/daemon/control.py
+++ b/src/amaranthhollow/daemon/control.py
@@ -12,7 +12,7 @@
 from amaranthhollow.configuration.model import ModelDeployment
 from amaranthhollow.decisions.control import Wanted, may_order, missing_orders
 from amaranthhollow.decisions.rendezvous import ranked
-from amaranthhollow.platform.lease_store import NamedLease
+from amaranthhollow.state.lease_store import NamedLease
 
 if TYPE_CHECKING:
     from amaranthhollow.daemon.node import Node
--- a/src/amaranthhollow/daemon/discovery.py
+++ b/src/amaranthhollow/daemon/discovery.py
@@ -27,7 +27,7 @@
     from amaranthhollow.daemon.gossiping import Gossiping
     from amaranthhollow.daemon.node import Node
     from amaranthhollow.decisions.endpoints import Endpoint
-    from amaranthhollow.platform.host_list import HostEntry, HostListing
+    from amaranthhollow.state.host_list import HostEntry, HostListing
 
 __all__ = ["Discovery"]
 
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -26,10 +26,10 @@
     from amaranthhollow.endpoints.service import ServiceClient
     from amaranthhollow.peers.links import PeerLinks
     from amaranthhollow.peers.shard_owners import ShardOwners
-    from amaranthhollow.platform.claim_store import ClaimStore
-    from amaranthhollow.platform.host_list import HostListClient
-    from amaranthhollow.platform.key_value import KeyValueClient
     from amaranthhollow.settings.model import DaemonSettings
+    from amaranthhollow.state.claim_store import ClaimStore
+    from amaranthhollow.state.host_list import HostListClient
+    from amaranthhollow.state.key_value import KeyValueClient
 
 __all__ = ["Node"]
 
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -34,10 +34,10 @@
 from amaranthhollow.peers.links import PeerLinks
 from amaranthhollow.peers.server import serve_peers
 from amaranthhollow.peers.shard_owners import ShardOwners
-from amaranthhollow.platform.claim_store import ClaimStore
-from amaranthhollow.platform.configuration_store import ConfigurationStore
-from amaranthhollow.platform.host_list import HostListClient
-from amaranthhollow.platform.key_value import KeyValueClient
+from amaranthhollow.state.claim_store import ClaimStore
+from amaranthhollow.state.configuration_store import ConfigurationStore
+from amaranthhollow.state.host_list import HostListClient
+from amaranthhollow.state.key_value import KeyValueClient
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
--- /dev/null
+++ b/src/amaranthhollow/decisions/choice.py
@@ -0,0 +1,210 @@
+"""Chooses an endpoint by cached prefix, queued work and recent failures.
+
+Loads are in tokens still to be read for model engines, and in busy slots for plain
+services. What this host sent counts at once; what others sent, when they say so.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from amaranthhollow.decisions.rendezvous import ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+    from random import Random
+
+    from amaranthhollow.decisions.endpoints import Endpoint
+
+__all__ = ["EndpointChooser", "PromptShape", "SentLoad"]
+
+# What a running request delays others by, in tokens to read: one token of its answer
+# takes as long in a batch as reading this many tokens.
+RUNNING_TOKENS = 150
+# A request that finds all slots taken waits for one of them to end.
+FULL_TOKENS = 40_000
+# A failed attempt costs as much as reading a long prompt once more.
+FAILURE_TOKENS = 20_000
+FAILURE_SLOTS = 1.5
+# Bytes between data centres are dear, a queue is dearer.
+OTHER_DATA_CENTRE_SLOTS = 0.2
+OTHER_DATA_CENTRE_TOKENS = 300
+JITTER_SLOTS = 0.05
+FAILURE_WEIGHT = 0.3
+FAILURE_HALF_LIFE_SECONDS = 2.0
+PREFIXES_REMEMBERED = 512
+
+
+@dataclass(frozen=True)
+class SentLoad:
+    """Requests at an endpoint, and prompt tokens that have brought no event yet."""
+
+    requests: int = 0
+    pending_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class PromptShape:
+    """What matters of a prompt: the key of its shared parts, and its sizes."""
+
+    prefix_key: str
+    shared_tokens: int
+    own_tokens: int
+
+
+@dataclass(frozen=True)
+class _FailureRate:
+    rate: float = 0.0
+    updated_at: float = 0.0
+
+    def at(self, now: float) -> float:
+        elapsed = max(0.0, now - self.updated_at)
+        return self.rate * 0.5 ** (elapsed / FAILURE_HALF_LIFE_SECONDS)
+
+
+NO_LOAD = SentLoad()
+
+
+class EndpointChooser:
+    """What one host knows of the load of endpoints, and its choice by it."""
+
+    def __init__(self, data_centre: str, random: Random) -> None:
+        """Choose on behalf of a host in ``data_centre``."""
+        self._data_centre = data_centre
+        self._random = random
+        self._own_by_endpoint: dict[str, SentLoad] = {}
+        self._others_by_host: dict[str, Mapping[str, SentLoad]] = {}
+        self._failures_by_endpoint: dict[str, _FailureRate] = {}
+        self._prefixes_by_endpoint: dict[str, OrderedDict[str, None]] = {}
+
+    def started(self, endpoint_id: str, prompt: PromptShape | None) -> int:
+        """Count a request that is sent; returns its pending tokens."""
+        pending = 0
+        if prompt is not None:
+            pending = prompt.own_tokens
+            if not self._holds(endpoint_id, prompt.prefix_key):
+                pending += prompt.shared_tokens
+            self._remember(endpoint_id, prompt.prefix_key)
+        self._add(endpoint_id, 1, pending)
+        return pending
+
+    def began(self, endpoint_id: str, pending: int) -> None:
+        """Note that a request's prompt has been read."""
+        self._add(endpoint_id, 0, -pending)
+
+    def ended(self, endpoint_id: str) -> None:
+        """Note that a request has left the endpoint."""
+        self._add(endpoint_id, -1, 0)
+
+    def succeeded(self, endpoint_id: str, now: float) -> None:
+        """Note an attempt that its endpoint answered well."""
+        self._note(endpoint_id, 0.0, now)
+
+    def failed(self, endpoint_id: str, now: float) -> None:
+        """Note an attempt that its endpoint failed."""
+        self._note(endpoint_id, 1.0, now)
+
+    def own_loads(self) -> dict[str, SentLoad]:
+        """Return what this host has at each endpoint."""
+        return dict(self._own_by_endpoint)
+
+    def learn(self, host: str, loads: Mapping[str, SentLoad]) -> None:
+        """Take in what another host has at each endpoint."""
+        self._others_by_host[host] = loads
+
+    def forget_host(self, host: str) -> None:
+        """Forget a host that is gone."""
+        self._others_by_host.pop(host, None)
+
+    def retain(self, endpoint_ids: Collection[str]) -> None:
+        """Forget all other endpoints."""
+        for table in (self._failures_by_endpoint, self._prefixes_by_endpoint):
+            for endpoint_id in [e for e in table if e not in endpoint_ids]:
+                del table[endpoint_id]
+
+    def load(self, endpoint_id: str) -> SentLoad:
+        """Return what all hosts are known to have at an endpoint."""
+        own = self._own_by_endpoint.get(endpoint_id, NO_LOAD)
+        requests, pending = own.requests, own.pending_tokens
+        for loads in self._others_by_host.values():
+            other = loads.get(endpoint_id)
+            if other is not None:
+                requests += other.requests
+                pending += other.pending_tokens
+        return SentLoad(requests, pending)
+
+    def choose(
+        self,
+        endpoints: Collection[Endpoint],
+        prompt: PromptShape | None,
+        tried: Collection[str],
+        now: float,
+    ) -> Endpoint | None:
+        """Choose an endpoint that is not in ``tried``, or None."""
+        by_id = {e.host: e for e in endpoints if e.host not in tried}
+        if not by_id:
+            return None
+        if prompt is None:
+            return min(by_id.values(), key=lambda e: self._slots_cost(e, now))
+        order = list(ranked(prompt.prefix_key, by_id))
+        costs = {
+            endpoint_id: self._token_cost(by_id[endpoint_id], prompt, rank == 0, now)
+            for rank, endpoint_id in enumerate(order)
+        }
+        return by_id[min(order, key=costs.__getitem__)]
+
+    def _token_cost(
+        self, endpoint: Endpoint, prompt: PromptShape, is_first: bool, now: float
+    ) -> float:
+        """Return the tokens to be read before the request's first event."""
+        load = self.load(endpoint.host)
+        cost = float(load.pending_tokens + RUNNING_TOKENS * load.requests)
+        if not is_first and not self._holds(endpoint.host, prompt.prefix_key):
+            cost += prompt.shared_tokens
+        if load.requests >= endpoint.listed.slots:
+            cost += FULL_TOKENS
+        if endpoint.listed.data_centre != self._data_centre:
+            cost += OTHER_DATA_CENTRE_TOKENS
+        return cost + FAILURE_TOKENS * self._failure_rate(endpoint.host, now)
+
+    def _slots_cost(self, endpoint: Endpoint, now: float) -> float:
+        """Return the busy part of the endpoint's slots, and what else weighs."""
+        load = self.load(endpoint.host)
+        cost = load.requests / max(1, endpoint.listed.slots)
+        if endpoint.listed.data_centre != self._data_centre:
+            cost += OTHER_DATA_CENTRE_SLOTS
+        cost += FAILURE_SLOTS * self._failure_rate(endpoint.host, now)
+        return cost + JITTER_SLOTS * self._random.random()
+
+    def _failure_rate(self, endpoint_id: str, now: float) -> float:
+        rate = self._failures_by_endpoint.get(endpoint_id)
+        return 0.0 if rate is None else rate.at(now)
+
+    def _note(self, endpoint_id: str, outcome: float, now: float) -> None:
+        rate = self._failure_rate(endpoint_id, now)
+        rate += FAILURE_WEIGHT * (outcome - rate)
+        self._failures_by_endpoint[endpoint_id] = _FailureRate(rate, now)
+
+    def _add(self, endpoint_id: str, requests: int, tokens: int) -> None:
+        load = self._own_by_endpoint.get(endpoint_id, NO_LOAD)
+        changed = replace(
+            load,
+            requests=max(0, load.requests + requests),
+            pending_tokens=max(0, load.pending_tokens + tokens),
+        )
+        if changed == NO_LOAD:
+            self._own_by_endpoint.pop(endpoint_id, None)
+        else:
+            self._own_by_endpoint[endpoint_id] = changed
+
+    def _holds(self, endpoint_id: str, prefix_key: str) -> bool:
+        return prefix_key in self._prefixes_by_endpoint.get(endpoint_id, ())
+
+    def _remember(self, endpoint_id: str, prefix_key: str) -> None:
+        prefixes = self._prefixes_by_endpoint.setdefault(endpoint_id, OrderedDict())
+        prefixes[prefix_key] = None
+        prefixes.move_to_end(prefix_key)
+        if len(prefixes) > PREFIXES_REMEMBERED:
+            prefixes.popitem(last=False)
--- a/src/amaranthhollow/decisions/endpoints.py
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -45,7 +45,8 @@
     """An endpoint as the platform lists it.
 
     ``leaves_at`` is the announced instant of the reclaim, in seconds since the
-    Unix epoch, or 0 if none is announced.
+    Unix epoch, or 0 if none is announced. ``slots`` is how many requests it runs
+    at once; a reclaimable one may be taken away by the platform.
     """
 
     host: str
@@ -56,6 +57,8 @@
     deployment: str
     status: EndpointStatus = EndpointStatus.LIVE
     leaves_at: float = 0.0
+    slots: int = 1
+    is_reclaimable: bool = False
 
 
 @dataclass(frozen=True)
@@ -106,19 +109,24 @@
         """Return every endpoint, gone ones included."""
         return list(self._by_host.values())
 
-    def usable(self, deployment: str, now: float) -> list[Endpoint]:
+    def usable(
+        self, deployment: str, now: float, *, includes_unlisted: bool = True
+    ) -> list[Endpoint]:
         """Return the endpoints of a deployment that may get new work.
 
         When all of them failed a moment ago, all are tried: refusing every request
         until a backoff ends would turn one lost connection each into an outage. So
-        are hosts that the list lacks, when it lacks all of them.
+        are hosts that the list lacks, when it lacks all of them, unless the list is
+        known to be no older than the hosts.
         """
         staying = [
             endpoint
             for endpoint in self._by_host.values()
             if endpoint.listed.deployment == deployment and not endpoint.is_reclaimed
         ]
-        candidates = [e for e in staying if e.is_listed] or staying
+        candidates = [e for e in staying if e.is_listed]
+        if includes_unlisted and not candidates:
+            candidates = staying
         return [e for e in candidates if e.retry_at <= now] or candidates
 
     def facts_from_list(self, listed: Iterable[ListedEndpoint]) -> list[Fact]:
--- /dev/null
+++ b/src/amaranthhollow/decisions/freshness.py
@@ -0,0 +1,52 @@
+"""Until when a replicated document may be taken as the newest.
+
+A proof is the instant before which a read was begun that showed the document to be
+the newest. A host that has read the store vouches for its peers: the proof that a
+peer gets lies before its own question, so a delayed answer cannot make it younger.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Proof", "read_is_due", "vouched_proof"]
+
+# One host reads the store this often; the others hear of it.
+READ_SECONDS = 0.6
+# The next host reads if no proof has come: an exchange, and room for a slow answer.
+FIRST_STANDBY_SECONDS = 0.45
+STANDBY_SECONDS = 0.15
+
+
+@dataclass(frozen=True)
+class Proof:
+    """When a document was last known to be the newest; None if never."""
+
+    proven_at: float | None = None
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the document was known to be the newest."""
+        return float("inf") if self.proven_at is None else now - self.proven_at
+
+    def renewed(self, proven_at: float) -> Proof:
+        """Return the younger of two proofs."""
+        if self.proven_at is not None and self.proven_at >= proven_at:
+            return self
+        return Proof(proven_at)
+
+
+def vouched_proof(asked_at: float, age_seconds: float) -> Proof:
+    """Return the proof that a peer's answer gives.
+
+    ``age_seconds`` is the age of the peer's proof when it answered, which was after
+    ``asked_at``.
+    """
+    return Proof(asked_at - age_seconds)
+
+
+def read_is_due(proof: Proof, rank: int, now: float) -> bool:
+    """Tell whether the host with this rank among the reachable ones should read."""
+    standby = 0.0
+    if rank > 0:
+        standby = FIRST_STANDBY_SECONDS + (rank - 1) * STANDBY_SECONDS
+    return proof.age(now) >= READ_SECONDS + standby
--- /dev/null
+++ b/src/amaranthhollow/decisions/quota.py
@@ -0,0 +1,101 @@
+"""Enforces a workspace's quota over all hosts, with no message per request.
+
+Every host keeps the same token bucket and takes from it what it admits itself at
+once, and what the others admitted when their cumulative counts arrive. Close to the
+bottom the others' counts come too late, so a host then spends only its own share of
+the rate. Hosts that are not heard of are taken to spend their share.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from amaranthhollow.decisions.limits import Admit, Refuse
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from amaranthhollow.decisions.site import Quota
+
+__all__ = ["HostCounts", "QuotaLimiter"]
+
+# A new process does not know what was spent a moment ago.
+INITIAL_LEVEL = 0.5
+# Above this part of the burst, what other hosts admit within one exchange fits.
+SHARED_LEVEL = 0.3
+# How much of its own share a host may save up.
+SHARE_SECONDS = 0.5
+
+
+@dataclass(frozen=True)
+class HostCounts:
+    """How many hosts share the quotas, and how many of them are heard of now."""
+
+    known: int = 1
+    reachable: int = 1
+
+
+@dataclass
+class _Bucket:
+    level: float
+    share_level: float
+    updated_at: float
+    spent: float = 0.0
+    spent_by_host: dict[str, float] = field(default_factory=dict)
+
+
+class QuotaLimiter:
+    """The quotas of all workspaces at one host."""
+
+    def __init__(self) -> None:
+        """Start with no workspace known."""
+        self._buckets_by_workspace: dict[str, _Bucket] = {}
+
+    def admit(
+        self, workspace: str, quota: Quota, cost: float, hosts: HostCounts, now: float
+    ) -> Admit | Refuse:
+        """Decide on a request of ``cost`` tokens or requests."""
+        bucket = self._refilled(workspace, quota, hosts, now)
+        is_plenty = bucket.level - cost >= quota.burst * SHARED_LEVEL
+        if not is_plenty and bucket.share_level <= 0:
+            missing = -bucket.share_level + cost / hosts.known
+            wait = missing * hosts.known / quota.rate_per_second
+            return Refuse(retry_at=now + wait)
+        if not is_plenty:
+            bucket.share_level -= cost
+        bucket.level -= cost
+        bucket.spent += cost
+        return Admit()
+
+    def spent(self) -> dict[str, float]:
+        """Return what this host has admitted since its start, by workspace."""
+        return {w: b.spent for w, b in self._buckets_by_workspace.items()}
+
+    def learn(self, host: str, spent_by_workspace: Mapping[str, float]) -> None:
+        """Take in another host's cumulative counts; ``host`` names its incarnation."""
+        for workspace, spent in spent_by_workspace.items():
+            bucket = self._buckets_by_workspace.get(workspace)
+            if bucket is None:
+                continue
+            known = bucket.spent_by_host.get(host)
+            bucket.spent_by_host[host] = max(spent, known or 0.0)
+            if known is not None and spent > known:
+                bucket.level -= spent - known
+
+    def _refilled(
+        self, workspace: str, quota: Quota, hosts: HostCounts, now: float
+    ) -> _Bucket:
+        bucket = self._buckets_by_workspace.get(workspace)
+        if bucket is None:
+            level = quota.burst * INITIAL_LEVEL
+            bucket = _Bucket(level, 0.0, now)
+            self._buckets_by_workspace[workspace] = bucket
+        elapsed = max(0.0, now - bucket.updated_at)
+        heard_rate = quota.rate_per_second * hosts.reachable / hosts.known
+        bucket.level = min(quota.burst, bucket.level + heard_rate * elapsed)
+        share_rate = quota.rate_per_second / hosts.known
+        most = share_rate * SHARE_SECONDS
+        bucket.share_level = min(most, bucket.share_level + share_rate * elapsed)
+        bucket.updated_at = now
+        return bucket
--- a/src/amaranthhollow/decisions/retries.py
+++ b/src/amaranthhollow/decisions/retries.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["AttemptFailure", "Outcome", "RetryBudget"]
+__all__ = ["AttemptFailure", "Outcome", "RepeatBudget", "RetryBudget"]
 
 BUDGET_RATIO = 0.1
 BUDGET_FLOOR = 20.0
 BUDGET_CEILING = 100.0
+# Room for requests of one host that are counted in another window than its own.
+SHARE_MARGIN = 0.8
 
 
 class Outcome(Enum):
@@ -50,3 +53,40 @@
         if self.tokens < 1.0:
             return None
         return RetryBudget(self.tokens - 1.0)
+
+
+class RepeatBudget:
+    """Bounds the repeats of one service over all hosts, by this host's part of them.
+
+    In each window of ``window_seconds`` all hosts together may send ``ratio``
+    repeats for each request and ``slack`` besides. Each host keeps to its own
+    requests' part and to its part of the slack; what a silent host leaves unused
+    is not used by the others.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_seconds: float) -> None:
+        """Start with no request counted."""
+        self._ratio = ratio * SHARE_MARGIN
+        self._slack = slack * SHARE_MARGIN
+        self._window_seconds = window_seconds
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def requested(self, now: float) -> None:
+        """Count a request of a client."""
+        self._requests.append(now)
+        self._expire(now)
+
+    def take(self, hosts: int, now: float) -> bool:
+        """Take one repeat, with ``hosts`` sharing the slack, if there is room."""
+        self._expire(now)
+        allowed = self._ratio * len(self._requests) + self._slack / max(1, hosts)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _expire(self, now: float) -> None:
+        for instants in (self._requests, self._repeats):
+            while instants and instants[0] <= now - self._window_seconds:
+                instants.popleft()
--- /dev/null
+++ b/src/amaranthhollow/decisions/usage.py
@@ -0,0 +1,50 @@
+"""Counts the requests that endpoints began, by window of the wall clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+__all__ = ["UsageCounts", "total_counts"]
+
+# A report is due before this many further windows have ended.
+WINDOWS_KEPT = 5
+
+CountsByWindow = dict[int, dict[str, int]]
+
+
+class UsageCounts:
+    """What this host saw begin; cumulative within each window."""
+
+    def __init__(self, window_seconds: float) -> None:
+        """Count in windows of ``window_seconds`` since 1970."""
+        self.window_seconds = window_seconds
+        self._counts_by_window: dict[int, Counter[str]] = {}
+
+    def window_at(self, wall_time: float) -> int:
+        """Return the number of the window that holds an instant."""
+        return int(wall_time // self.window_seconds)
+
+    def began(self, workspace: str, wall_time: float) -> None:
+        """Count a request that an endpoint began at ``wall_time``."""
+        window = self.window_at(wall_time)
+        self._counts_by_window.setdefault(window, Counter())[workspace] += 1
+        for old in [w for w in self._counts_by_window if w <= window - WINDOWS_KEPT]:
+            del self._counts_by_window[old]
+
+    def report(self) -> CountsByWindow:
+        """Return the counts of the latest windows."""
+        return {w: dict(counts) for w, counts in self._counts_by_window.items()}
+
+
+def total_counts(
+    window: int, reports: Iterable[Mapping[int, Mapping[str, int]]]
+) -> dict[str, int]:
+    """Add up one window of several hosts' reports."""
+    total: Counter[str] = Counter()
+    for report in reports:
+        total.update(report.get(window, {}))
+    return dict(total)
--- /dev/null
+++ b/src/amaranthhollow/entry/__main__.py
@@ -0,0 +1,36 @@
+"""Starts the daemon of an entry host."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+from result import Err
+
+from amaranthhollow.entry.json_log import JsonLinesHandler
+from amaranthhollow.entry.service import run_entry_host
+from amaranthhollow.entry.settings import read_entry_settings
+
+__all__ = ["main"]
+
+SETTINGS_VARIABLE = "AMARANTHHOLLOW_NODE_FILE"
+EXIT_FINDINGS = 2
+
+
+def main() -> int:
+    """Run the daemon with the settings file that the environment names."""
+    settings_file = os.environ.get(SETTINGS_VARIABLE, "")
+    settings = read_entry_settings(Path(settings_file))
+    if isinstance(settings, Err):
+        for finding in settings.err_value:
+            print(finding, file=sys.stderr)
+        return EXIT_FINDINGS
+    with JsonLinesHandler().applicationbound():
+        asyncio.run(run_entry_host(settings.ok_value))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/amaranthhollow/entry/host.py
@@ -0,0 +1,66 @@
+"""What the parts of one daemon share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
+from amaranthhollow.decisions.retries import RepeatBudget
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from amaranthhollow.decisions.choice import EndpointChooser
+    from amaranthhollow.decisions.duties import DutyState
+    from amaranthhollow.decisions.membership import Membership
+    from amaranthhollow.decisions.usage import UsageCounts
+    from amaranthhollow.entry.metrics import Metrics
+    from amaranthhollow.entry.settings import EntrySettings
+    from amaranthhollow.platform.store import StoreClient
+    from amaranthhollow.state.site_state import SiteState
+
+__all__ = ["Host"]
+
+
+@dataclass
+class Host:
+    """The state of one daemon; each part uses what it needs."""
+
+    settings: EntrySettings
+    incarnation: int
+    site: SiteState
+    membership: Membership
+    chooser: EndpointChooser
+    usage: UsageCounts
+    store: StoreClient
+    metrics: Metrics
+    random: Random
+    duty: DutyState
+    quotas: QuotaLimiter = field(default_factory=QuotaLimiter)
+    budgets_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
+    usage_by_host: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
+    host_counts: HostCounts = field(default_factory=HostCounts)
+    reachable_hosts: tuple[str, ...] = ()
+    is_draining: bool = False
+
+    @property
+    def name(self) -> str:
+        """The name of the host."""
+        return self.settings.host
+
+    @property
+    def rank(self) -> int:
+        """The position of this host among those that hear of each other."""
+        return sorted({*self.reachable_hosts, self.name}).index(self.name)
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return the budget of repeated sends to a service."""
+        budget = self.budgets_by_service.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = RepeatBudget(
+                bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window
+            )
+            self.budgets_by_service[service] = budget
+        return budget
--- /dev/null
+++ b/src/amaranthhollow/entry/peering.py
@@ -0,0 +1,309 @@
+"""Exchanges datagrams with the other hosts: membership, reports and proofs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import logbook
+import msgspec
+from result import Err
+
+from amaranthhollow.decisions.choice import SentLoad
+from amaranthhollow.decisions.duties import HolderSeen
+from amaranthhollow.decisions.freshness import vouched_proof
+from amaranthhollow.decisions.gossip import select_peers
+from amaranthhollow.decisions.quota import HostCounts
+from amaranthhollow.peers.datagrams import (
+    Echo,
+    HostReport,
+    Ping,
+    Vouch,
+    decode_datagram,
+    encode_datagram,
+)
+from amaranthhollow.serving.calls import Call, HttpCaller
+from amaranthhollow.serving.clock import now
+from amaranthhollow.state.site_state import EndpointSnapshot
+
+if TYPE_CHECKING:
+    from amaranthhollow.entry.host import Host
+    from amaranthhollow.serving.exchange import Exchange
+
+__all__ = ["CONFIGURATION_TARGET", "ENDPOINTS_TARGET", "Peering"]
+
+PING_SECONDS = 0.25
+# Each host pings this many others a round, so that its traffic does not grow with
+# the number of hosts.
+FANOUT = 12
+# A peer that has not answered for three rounds and a delayed one is not counted on.
+REACHABLE_SECONDS = 1.0
+# A host that was heard of this long ago may still serve callers behind a partition.
+KNOWN_SECONDS = 15.0
+FETCH_TIMEOUT_SECONDS = 0.7
+LOST_TRY_ROUNDS = 8
+
+CONFIGURATION_TARGET = b"/configuration"
+ENDPOINTS_TARGET = b"/endpoints"
+
+log = logbook.Logger("peers")
+
+
+@dataclass(frozen=True)
+class _Asked:
+    """A ping that waits for its echo."""
+
+    host: str
+    asked_at: float
+
+
+class Peering(asyncio.DatagramProtocol):
+    """The exchanges of one host with its peers."""
+
+    def __init__(self, host: Host) -> None:
+        """Exchange on behalf of ``host``."""
+        self._host = host
+        self._port = host.settings.peer_ports.first
+        self._transport: asyncio.DatagramTransport | None = None
+        self._nonce = host.random.getrandbits(32)
+        self._asked_by_nonce: dict[int, _Asked] = {}
+        self._heard_at_by_host: dict[str, float] = {}
+        self._incarnations_by_host: dict[str, int] = {}
+        self._callers_by_address: dict[str, HttpCaller] = {}
+        self._fetching: set[bytes] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._round = 0
+
+    async def start(self) -> None:
+        """Bind the port for datagrams."""
+        loop = asyncio.get_running_loop()
+        address = (self._host.settings.address, self._port)
+        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+
+    async def run(self) -> None:
+        """Ping peers until cancelled."""
+        while True:
+            self.ping_round()
+            await asyncio.sleep(PING_SECONDS)
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the bound socket."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        """Take in a ping or an echo."""
+        message = decode_datagram(data)
+        match message:
+            case Ping():
+                self._host.metrics.datagrams.labels("ping").inc()
+                self._take_in(message.host, message.incarnation, message.report)
+                reply = self._merge(message)
+                echo = self._echo(message, reply)
+                self._transport.sendto(encode_datagram(echo), address)
+            case Echo():
+                self._host.metrics.datagrams.labels("echo").inc()
+                self._take_echo(message)
+            case None:
+                self._host.metrics.datagrams.labels("unreadable").inc()
+
+    def error_received(self, error: Exception) -> None:
+        """Ignore what the network says; a missing echo says it too."""
+
+    # Rounds.
+
+    def ping_round(self) -> None:
+        """Ping some peers, and give up those that did not answer."""
+        host = self._host
+        instant = now()
+        self._round += 1
+        self._expire_asked(instant)
+        host.membership.expire(instant)
+        self._count_hosts(instant)
+        random = host.random
+        partners = select_peers(host.membership.peers, FANOUT, random.randrange)
+        lost = host.membership.lost_hosts
+        if lost and self._round % LOST_TRY_ROUNDS == 0:
+            partners.append(random.choice(lost))
+        for partner in partners:
+            self._ping(partner, instant)
+
+    def _ping(self, partner: str, instant: float) -> None:
+        host = self._host
+        info = host.membership.info(partner)
+        if info is None or self._transport is None:
+            return
+        self._nonce += 1
+        self._asked_by_nonce[self._nonce] = _Asked(partner, instant)
+        ping = Ping(
+            self._nonce,
+            host.name,
+            host.incarnation,
+            host.membership.table.message(),
+            self._report(),
+        )
+        self._transport.sendto(encode_datagram(ping), (info.address, self._port))
+
+    def _expire_asked(self, instant: float) -> None:
+        for nonce, asked in list(self._asked_by_nonce.items()):
+            if instant - asked.asked_at < REACHABLE_SECONDS:
+                continue
+            del self._asked_by_nonce[nonce]
+            heard_at = self._heard_at_by_host.get(asked.host, 0.0)
+            if heard_at < asked.asked_at:
+                self._host.membership.exchange_failed(asked.host, instant)
+
+    def _count_hosts(self, instant: float) -> None:
+        host = self._host
+        ages = {h: instant - at for h, at in self._heard_at_by_host.items()}
+        reachable = tuple(sorted(h for h, a in ages.items() if a < REACHABLE_SECONDS))
+        known = {h for h, age in ages.items() if age < KNOWN_SECONDS}
+        known |= set(host.membership.peers)
+        if set(reachable) != set(host.reachable_hosts):
+            log.info(
+                "reachable hosts changed",
+                extra={"reachable": len(reachable), "known": len(known)},
+            )
+        host.reachable_hosts = reachable
+        host.host_counts = HostCounts(1 + len(known), 1 + len(reachable))
+        for name in [h for h, age in ages.items() if age >= KNOWN_SECONDS]:
+            del self._heard_at_by_host[name]
+            host.chooser.forget_host(name)
+
+    # Messages.
+
+    def _report(self) -> HostReport:
+        host = self._host
+        loads = {
+            endpoint: (load.requests, load.pending_tokens)
+            for endpoint, load in host.chooser.own_loads().items()
+        }
+        return HostReport(host.usage.report(), host.quotas.spent(), loads)
+
+    def _merge(self, message: Ping | Echo) -> object:
+        membership = self._host.membership
+        membership.merge(message.gossip.facts, now())
+        return membership.table.message(message.gossip)
+
+    def _echo(self, ping: Ping, reply: object) -> Echo:
+        host = self._host
+        return Echo(
+            ping.nonce,
+            host.name,
+            host.incarnation,
+            reply,
+            self._report(),
+            self._vouch(),
+        )
+
+    def _vouch(self) -> Vouch:
+        host, instant = self._host, now()
+        site, duty = host.site, host.duty
+        holder, token, seconds = "", 0, 0.0
+        if duty.holding is not None:
+            holder, token = host.name, duty.holding.fencing_token
+            seconds = duty.holding.expires_at - instant
+        elif duty.seen is not None:
+            holder, token = duty.seen.host, duty.seen.fencing_token
+            seconds = duty.seen.lapses_at - instant
+        return Vouch(
+            site.version,
+            _age(site.configuration_proof.age(instant)),
+            site.snapshot.revision,
+            site.fingerprint,
+            _age(site.endpoints_proof.age(instant)),
+            holder,
+            token,
+            seconds,
+        )
+
+    def _take_in(self, name: str, incarnation: int, report: HostReport) -> None:
+        host = self._host
+        self._heard_at_by_host[name] = now()
+        self._incarnations_by_host[name] = incarnation
+        loads = {e: SentLoad(*load) for e, load in report.loads.items()}
+        host.chooser.learn(name, loads)
+        host.quotas.learn(f"{name}@{incarnation}", report.spent)
+        host.usage_by_host[f"{name}@{incarnation}"] = report.usage
+
+    def _take_echo(self, echo: Echo) -> None:
+        asked = self._asked_by_nonce.pop(echo.nonce, None)
+        if asked is None or asked.host != echo.host:
+            return
+        self._take_in(echo.host, echo.incarnation, echo.report)
+        self._merge(echo)
+        self._take_vouch(echo.host, echo.vouch, asked.asked_at)
+
+    def _take_vouch(self, name: str, vouch: Vouch, asked_at: float) -> None:
+        site = self._host.site
+        if vouch.configuration_age >= 0:
+            proof = vouched_proof(asked_at, vouch.configuration_age)
+            if vouch.configuration_version > site.version:
+                self._fetch(name, CONFIGURATION_TARGET, vouch, proof.proven_at)
+            site.vouch_configuration(vouch.configuration_version, proof)
+        if vouch.endpoints_age >= 0:
+            proof = vouched_proof(asked_at, vouch.endpoints_age)
+            is_newer = vouch.endpoints_revision > site.snapshot.revision
+            if is_newer and vouch.endpoints_fingerprint != site.fingerprint:
+                self._fetch(name, ENDPOINTS_TARGET, vouch, proof.proven_at)
+            site.vouch_endpoints(vouch.endpoints_fingerprint, proof)
+        if vouch.holder and vouch.holder != self._host.name:
+            seen = HolderSeen(
+                vouch.holder, vouch.fencing_token, now() + vouch.holder_seconds
+            )
+            self._host.duty = self._host.duty.heard_of(seen)
+
+    # Documents.
+
+    def _fetch(
+        self, name: str, target: bytes, vouch: Vouch, proven_at: float | None
+    ) -> None:
+        """Fetch a newer document from the peer that vouches for it."""
+        info = self._host.membership.info(name)
+        if info is None or target in self._fetching or proven_at is None:
+            return
+        self._fetching.add(target)
+        job = self._fetch_from(info.address, target, vouch, proven_at)
+        task = asyncio.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _fetch_from(
+        self, address: str, target: bytes, vouch: Vouch, proven_at: float
+    ) -> None:
+        caller = self._callers_by_address.get(address)
+        if caller is None:
+            caller = HttpCaller(address, self._port)
+            self._callers_by_address[address] = caller
+        answer = await caller.call(Call(b"GET", target), FETCH_TIMEOUT_SECONDS)
+        self._fetching.discard(target)
+        if isinstance(answer, Err) or answer.ok_value.status != 200:
+            return
+        body = answer.ok_value.body
+        if target == CONFIGURATION_TARGET:
+            self._host.site.apply_configuration(body, proven_at)
+            return
+        try:
+            snapshot = msgspec.msgpack.decode(body, type=EndpointSnapshot)
+        except msgspec.DecodeError as error:
+            log.warning("peer's endpoints unreadable", extra={"error": str(error)})
+            return
+        self._host.site.apply_endpoints(snapshot, proven_at, now())
+
+    async def serve_documents(self, exchange: Exchange) -> None:
+        """Answer a peer that fetches a document."""
+        site = self._host.site
+        match exchange.head.path:
+            case b"/configuration" if site.configuration is not None:
+                exchange.respond(200, [], site.configuration_value)
+            case b"/endpoints":
+                exchange.respond(200, [], msgspec.msgpack.encode(site.snapshot))
+            case _:
+                exchange.respond(404, [], b"")
+
+
+def _age(age: float) -> float:
+    """Return an age for the wire, where a missing proof is negative."""
+    return -1.0 if age == float("inf") else age
--- /dev/null
+++ b/src/amaranthhollow/entry/service.py
@@ -0,0 +1,229 @@
+"""Composes the daemon of an entry host and runs it from start to shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+import logbook
+
+from amaranthhollow.decisions.choice import EndpointChooser
+from amaranthhollow.decisions.duties import DutyState
+from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
+from amaranthhollow.decisions.usage import UsageCounts
+from amaranthhollow.entry.duty_lease import DutyLease
+from amaranthhollow.entry.host import Host
+from amaranthhollow.entry.metrics import CONTENT_TYPE, Metrics
+from amaranthhollow.entry.peering import Peering
+from amaranthhollow.entry.request_handler import RequestHandler, forwarding_policy
+from amaranthhollow.entry.scaling_duty import ScalingDuty
+from amaranthhollow.entry.site_sync import HostAnnouncement, SiteSync
+from amaranthhollow.entry.usage_duty import UsageDuty
+from amaranthhollow.platform.cloud import CloudClient
+from amaranthhollow.platform.documents import decode_configuration, decode_endpoint
+from amaranthhollow.platform.endpoints import (
+    decode_answer,
+    encode_dispatch,
+    expected_echo,
+)
+from amaranthhollow.platform.store import StoreClient
+from amaranthhollow.serving.admission import Admission, AdmissionBounds
+from amaranthhollow.serving.attempt import EndpointCodec, address_of
+from amaranthhollow.serving.calls import HttpCaller
+from amaranthhollow.serving.clock import now
+from amaranthhollow.serving.connection_pool import ConnectionPool
+from amaranthhollow.serving.forwarder import Forwarder
+from amaranthhollow.serving.listener import Listener, ListenerLimits
+from amaranthhollow.state.site_state import SiteDecoders, SiteState
+
+if TYPE_CHECKING:
+    from amaranthhollow.entry.settings import EntrySettings
+    from amaranthhollow.serving.exchange import Exchange
+
+__all__ = ["run_entry_host"]
+
+# Between a proof and the admission that relies on it, a request is read.
+KEY_MARGIN_SECONDS = 0.5
+UPKEEP_SECONDS = 0.5
+# The balancer asks once a second, and takes a host out after two misses
+# (platform's pages, ingress).
+BALANCER_NOTICE_SECONDS = 3.0
+# What is under way is cut by the platform at the end of the shutdown.
+EXIT_MARGIN_SECONDS = 0.4
+DRAIN_POLL_SECONDS = 0.05
+
+log = logbook.Logger("daemon")
+
+
+async def run_entry_host(settings: EntrySettings) -> None:
+    """Run until SIGTERM, and then until what is under way has ended."""
+    await _Daemon(settings).run()
+
+
+class _Daemon:
+    """The parts of one daemon and their tasks."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._host = host = _build_host(settings)
+        self._pool = ConnectionPool()
+        codec = EndpointCodec(encode_dispatch, expected_echo, decode_answer)
+        self._forwarder = Forwarder(
+            host.site, self._pool, host.chooser, codec, forwarding_policy(host)
+        )
+        self._key_fresh_seconds = (
+            settings.bounds.key_removal_ms / 1000 - KEY_MARGIN_SECONDS
+        )
+        admission = Admission(
+            host.site,
+            host.quotas,
+            lambda: host.host_counts,
+            AdmissionBounds(self._key_fresh_seconds),
+            host.random.random,
+        )
+        self._handler = RequestHandler(host, admission, self._forwarder)
+        self._peering = Peering(host)
+        address = settings.address
+        self._callers = Listener(
+            self._handler.handle, *_split_address(settings.callers)
+        )
+        self._readiness = Listener(
+            self._answer_readiness, *_split_address(settings.readiness)
+        )
+        self._metrics = Listener(self._answer_metrics, address, settings.metrics_port)
+        self._documents = Listener(
+            self._peering.serve_documents, address, settings.peer_ports.first
+        )
+        self._stop_requested = asyncio.Event()
+        self._was_ready: bool | None = None
+
+    async def run(self) -> None:
+        """Start every part, serve, and shut down."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        listeners = (self._callers, self._readiness, self._metrics, self._documents)
+        for listener in listeners:
+            await listener.start()
+        await self._peering.start()
+        cloud = CloudClient(HttpCaller(*_split_address(self._settings.cloud)))
+        host = self._host
+        jobs = [
+            self._peering.run(),
+            SiteSync(host).run(),
+            HostAnnouncement(host).run(),
+            DutyLease(host).run(),
+            UsageDuty(host, cloud).run(),
+            ScalingDuty(host, cloud).run(),
+            self._upkeep(),
+        ]
+        tasks = [asyncio.create_task(job) for job in jobs]
+        for task in tasks:
+            task.add_done_callback(_report_failure)
+        log.info("started", extra={"host": host.name, "incarnation": host.incarnation})
+        await self._stop_requested.wait()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        for listener in listeners:
+            listener.stop()
+        log.info("stopped", extra={"host": host.name})
+
+    async def _drain(self) -> None:
+        """Leave the balancer first, then finish what callers have under way."""
+        stopped_at = now()
+        exit_at = stopped_at + self._settings.bounds.shutdown - EXIT_MARGIN_SECONDS
+        self._host.is_draining = True
+        self._callers.is_draining = True
+        log.info("draining", extra={"open": self._callers.open_exchanges})
+        await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        self._handler.refuses_new = True
+        while now() < exit_at and self._callers.connections:
+            self._callers.close_idle()
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _upkeep(self) -> None:
+        """Drop what belongs to endpoints that are gone, and apply limits."""
+        while True:
+            await asyncio.sleep(UPKEEP_SECONDS)
+            site, metrics = self._host.site, self._host.metrics
+            listed = [e for e in site.endpoints.all() if e.is_listed]
+            self._pool.retain({address_of(endpoint) for endpoint in listed})
+            self._host.chooser.retain({endpoint.host for endpoint in listed})
+            if site.configuration is not None:
+                limits = site.configuration.limits
+                self._callers.limits = ListenerLimits(
+                    limits.max_header_bytes,
+                    limits.max_body_bytes,
+                    limits.header_timeout_seconds,
+                    limits.idle_timeout_seconds,
+                )
+            instant = now()
+            metrics.configuration_age.set(site.configuration_proof.age(instant))
+            metrics.endpoints_age.set(site.endpoints_proof.age(instant))
+            self._is_ready()
+
+    def _is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        site = self._host.site
+        age = site.configuration_proof.age(now())
+        is_ready = (
+            not self._host.is_draining
+            and site.configuration is not None
+            and age < self._key_fresh_seconds
+        )
+        if is_ready is not self._was_ready:
+            self._was_ready = is_ready
+            log.info(
+                "ready" if is_ready else "not ready",
+                extra={"version": site.version, "version_age": age},
+            )
+        return is_ready
+
+    async def _answer_readiness(self, exchange: Exchange) -> None:
+        exchange.respond(200 if self._is_ready() else 503, [], b"")
+
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        body = self._host.metrics.exposition()
+        exchange.respond(200, [(b"content-type", CONTENT_TYPE)], body)
+
+    def _note_reload(self) -> None:
+        """Log that the settings changed; addresses stay as they were at the start."""
+        log.info("settings changed, in force from the next start")
+
+
+def _build_host(settings: EntrySettings) -> Host:
+    incarnation = int(time.time() * 1000)
+    random = Random(f"{settings.host}-{incarnation}")
+    info = DaemonInfo(settings.address, settings.data_centre, DaemonStatus.ALIVE)
+    metrics = Metrics()
+
+    def count_call(kind: str, succeeded: bool) -> None:
+        metrics.store_calls.labels(kind, succeeded).inc()
+
+    bounds = settings.bounds
+    return Host(
+        settings=settings,
+        incarnation=incarnation,
+        site=SiteState(SiteDecoders(decode_configuration, decode_endpoint)),
+        membership=Membership(settings.host, incarnation, info),
+        chooser=EndpointChooser(settings.data_centre, random),
+        usage=UsageCounts(bounds.usage_window),
+        store=StoreClient(HttpCaller(*_split_address(settings.store)), count_call),
+        metrics=metrics,
+        random=random,
+        duty=DutyState(bounds.lease_ms / 1000),
+    )
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.error("job failed", extra={"error": repr(task.exception())})
--- /dev/null
+++ b/src/amaranthhollow/entry/settings.py
@@ -0,0 +1,123 @@
+"""Settings of the daemon of an entry host, checked with file, line and key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from amaranthhollow.settings.document import read_document
+from amaranthhollow.settings.findings import Finding
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from amaranthhollow.settings.document import Document, KeyPath
+
+__all__ = ["Bounds", "EntrySettings", "PortRange", "read_entry_settings"]
+
+
+class PortRange(msgspec.Struct, frozen=True):
+    """The ports from ``first`` to ``last`` are free for traffic between hosts."""
+
+    first: int
+    last: int
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds of the site that the daemon keeps; in seconds unless named otherwise."""
+
+    key_removal_ms: float
+    lease_ms: float
+    shutdown: float
+    usage_window: float
+    usage_due: float
+    repeat_ratio: float
+    repeat_slack: float
+    repeat_window: float
+
+
+class EntrySettings(msgspec.Struct, frozen=True):
+    """Settings of one daemon; addresses are ``IP:PORT``."""
+
+    host: str
+    data_centre: str
+    address: str
+    callers: str
+    readiness: str
+    metrics_port: int
+    store: str
+    cloud: str
+    peer_ports: PortRange
+    bounds: Bounds
+
+
+def read_entry_settings(
+    path: Path,
+) -> Result[EntrySettings, tuple[Finding, ...]]:
+    """Read and check the settings file at ``path``."""
+    document = read_document(path)
+    if isinstance(document, Err):
+        return document
+    findings: list[Finding] = []
+    settings = _convert(document.ok_value, (), document.ok_value.value, EntrySettings)
+    match settings:
+        case Err(found):
+            findings += found
+        case Ok(value):
+            findings += _address_findings(document.ok_value, value)
+            if not findings:
+                return Ok(value)
+    return Err(tuple(sorted(findings)))
+
+
+def _convert(
+    document: Document, path: KeyPath, value: object, model: type
+) -> Result[object, list[Finding]]:
+    """Convert field by field, so that every finding is reported."""
+    if not isinstance(value, dict):
+        return Err([_finding(document, path, "a mapping")])
+    findings: list[Finding] = []
+    converted: dict[str, object] = {}
+    for field in msgspec.structs.fields(model):
+        place = (*path, field.encode_name)
+        if field.encode_name not in value:
+            if field.required:
+                findings.append(_finding(document, place, "this key to be present"))
+            continue
+        result = _convert_field(document, place, value[field.encode_name], field.type)
+        match result:
+            case Ok(item):
+                converted[field.name] = item
+            case Err(found):
+                findings += found
+    known = {field.encode_name for field in msgspec.structs.fields(model)}
+    for key in value.keys() - known:
+        findings.append(_finding(document, (*path, key), "no such key (unknown key)"))
+    return Err(findings) if findings else Ok(model(**converted))
+
+
+def _convert_field(
+    document: Document, path: KeyPath, value: object, kind: type
+) -> Result[object, list[Finding]]:
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        return _convert(document, path, value, kind)
+    try:
+        return Ok(msgspec.convert(value, kind))
+    except msgspec.ValidationError as error:
+        return Err([_finding(document, path, str(error).removeprefix("Expected "))])
+
+
+def _address_findings(document: Document, settings: EntrySettings) -> list[Finding]:
+    findings = []
+    for key in ("callers", "readiness", "store", "cloud"):
+        address, _, port = getattr(settings, key).rpartition(":")
+        if not address or not port.isdigit() or not 0 < int(port) < 65536:
+            findings.append(_finding(document, (key,), "an address IP:PORT"))
+    return findings
+
+
+def _finding(document: Document, path: KeyPath, expected: str) -> Finding:
+    key = ".".join(map(str, path)) or "(document)"
+    return Finding(document.file, document.line_of(path), key, expected)
--- a/src/amaranthhollow/peers/shard_owners.py
+++ b/src/amaranthhollow/peers/shard_owners.py
@@ -29,7 +29,7 @@
     from amaranthhollow.decisions.membership import Membership
     from amaranthhollow.peers.claim_replies import ClaimResult
     from amaranthhollow.peers.links import PeerLinks
-    from amaranthhollow.platform.claim_store import ClaimStore
+    from amaranthhollow.state.claim_store import ClaimStore
 
 __all__ = ["ShardOwners"]
 
--- a/src/amaranthhollow/platform/__init__.py
+++ b/src/amaranthhollow/platform/__init__.py
@@ -1,4 +1,4 @@
-"""Clients of the platform's services."""
+"""Adapter to the users' platform: names, wire formats and calls; it decides nothing."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/src/amaranthhollow/platform/cloud.py
@@ -0,0 +1,85 @@
+"""Client of the platform's API for the duties that one host has at a time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err, Ok, Result
+
+from amaranthhollow.platform import names
+from amaranthhollow.serving.calls import Call, CallError, CallFailure, HttpCaller
+
+if TYPE_CHECKING:
+    from amaranthhollow.decisions.planner import EngineOrder
+
+__all__ = ["CloudClient", "DutyHolder", "encode_usage"]
+
+
+@dataclass(frozen=True)
+class DutyHolder:
+    """In whose name a call is made, and the fencing token of the holding."""
+
+    host: str
+    fencing_token: int
+
+
+def encode_usage(window: int, counts_by_workspace: dict[str, int]) -> bytes:
+    """Encode a usage report; equal counts give equal bytes."""
+    counts = dict(sorted(counts_by_workspace.items()))
+    return msgspec.json.encode({"window_id": window, "counts": counts})
+
+
+class CloudClient:
+    """Reports usage and orders engines."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        """Call through ``caller``."""
+        self._caller = caller
+
+    async def report_usage(
+        self, report: bytes, holder: DutyHolder, timeout_seconds: float
+    ) -> Result[None, CallError]:
+        """Send an encoded usage report."""
+        status = await self._call(b"/usage", report, holder, timeout_seconds)
+        if isinstance(status, Err):
+            return status
+        if status.ok_value != HTTPStatus.OK:
+            error = CallError(CallFailure.UNCERTAIN, f"status {status.ok_value}")
+            return Err(error)
+        return Ok(None)
+
+    async def order(
+        self, order: EngineOrder, holder: DutyHolder, timeout_seconds: float
+    ) -> Result[bool, CallError]:
+        """Order engines; False if none are to be had there now."""
+        body = {
+            "backend": order.service,
+            "zone": order.data_centre,
+            "desired_count": order.count,
+            "spot": order.is_reclaimable,
+        }
+        content = msgspec.json.encode(body)
+        status = await self._call(b"/scale", content, holder, timeout_seconds)
+        if isinstance(status, Err):
+            return status
+        match status.ok_value:
+            case HTTPStatus.OK:
+                return Ok(True)
+            case HTTPStatus.CONFLICT:
+                return Ok(False)
+            case other:
+                return Err(CallError(CallFailure.UNCERTAIN, f"status {other}"))
+
+    async def _call(
+        self, target: bytes, body: bytes, holder: DutyHolder, timeout_seconds: float
+    ) -> Result[int, CallError]:
+        headers = (
+            (names.DUTY_HOLDER, holder.host.encode()),
+            (names.FENCING_TOKEN, b"%d" % holder.fencing_token),
+        )
+        call = Call(b"POST", target, body, headers)
+        answer = await self._caller.call(call, timeout_seconds)
+        return answer.map(lambda whole: whole.status)
--- /dev/null
+++ b/src/amaranthhollow/platform/documents.py
@@ -0,0 +1,223 @@
+"""Decodes the operator's configuration and the entries of endpoints in the store."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from amaranthhollow.decisions.endpoints import EndpointStatus, ListedEndpoint
+from amaranthhollow.decisions.site import (
+    Quota,
+    RequestLimits,
+    Route,
+    RouteKind,
+    ScalingBounds,
+    Service,
+    ServiceShare,
+    SiteConfiguration,
+    SiteWorkspace,
+)
+
+__all__ = ["decode_configuration", "decode_endpoint"]
+
+KINDS_BY_NAME = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+}
+STATUSES_BY_NAME = {
+    "ready": EndpointStatus.LIVE,
+    "draining": EndpointStatus.LEAVING,
+}
+TOKEN_UNIT = "token_count"
+
+
+class WireShare(msgspec.Struct, frozen=True):
+    """A service of a split route."""
+
+    service: str = msgspec.field(name="backend")
+    weight: float
+
+
+class WireRoute(msgspec.Struct, frozen=True):
+    """A route as the operator writes it."""
+
+    name: str
+    hostname: str
+    prefix: str
+    kind: str = msgspec.field(name="route_type")
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    service: str = msgspec.field(name="backend", default="")
+    shares: list[WireShare] = msgspec.field(
+        name="weighted_backends", default_factory=list
+    )
+    max_attempts: int = 1
+    is_public: bool = msgspec.field(name="public", default=False)
+    may_resume: bool = msgspec.field(name="stream_resume", default=False)
+    max_gap_ms: float | None = msgspec.field(name="gap_aim_ms", default=None)
+
+
+class WireEngine(msgspec.Struct, frozen=True):
+    """What a configuration says of the engines of a service."""
+
+    cache_tokens: int = msgspec.field(name="kv_tokens", default=0)
+
+
+class WireScaling(msgspec.Struct, frozen=True):
+    """How many engines a service may have in each data centre."""
+
+    min_engines: int = msgspec.field(name="min_replicas", default=0)
+    max_engines: int = msgspec.field(name="max_replicas", default=0)
+    start_seconds: float = msgspec.field(name="boot_s", default=0)
+    # A factor on the price of the data centre, not a price.
+    reclaimable_price: float = msgspec.field(name="spot_price", default=1)
+    price_by_data_centre: dict[str, float] = msgspec.field(
+        name="zone_prices", default_factory=dict
+    )
+
+
+class WireService(msgspec.Struct, frozen=True):
+    """A service as the operator writes it."""
+
+    name: str
+    max_connections: int = 0
+    engine: WireEngine | None = None
+    scaling: WireScaling | None = msgspec.field(name="autoscale", default=None)
+
+
+class WireWorkspace(msgspec.Struct, frozen=True):
+    """A workspace as the operator writes it."""
+
+    name: str
+    keys: list[str] = msgspec.field(name="api_keys", default_factory=list)
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: int = 0
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class WireLimits(msgspec.Struct, frozen=True):
+    """The bounds on what clients send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class WireConfiguration(msgspec.Struct, frozen=True):
+    """The configuration as the operator writes it."""
+
+    version: int
+    routes: list[WireRoute] = msgspec.field(default_factory=list)
+    services: list[WireService] = msgspec.field(default_factory=list)
+    workspaces: list[WireWorkspace] = msgspec.field(
+        name="tenants", default_factory=list
+    )
+    limits: WireLimits = WireLimits()
+
+
+class WireEndpoint(msgspec.Struct, frozen=True):
+    """An endpoint's entry as it writes it."""
+
+    service: str = msgspec.field(name="backend")
+    address: str
+    data_centre: str = msgspec.field(name="zone")
+    slots: int
+    state: str
+    # Unix milliseconds of the endpoint's start.
+    started_ms: int = msgspec.field(name="born", default=0)
+    is_reclaimable: bool = msgspec.field(name="spot", default=False)
+    # From the writing of the entry until the endpoint is taken away.
+    leaves_ms: float | None = None
+
+
+def decode_configuration(value: bytes) -> Result[SiteConfiguration, str]:
+    """Return the configuration, or why it cannot be read."""
+    try:
+        wire = msgspec.json.decode(value, type=WireConfiguration)
+        return Ok(
+            SiteConfiguration(
+                version=wire.version,
+                routes=tuple(map(_route, wire.routes)),
+                services_by_name={s.name: _service(s) for s in wire.services},
+                workspaces_by_name={w.name: _workspace(w) for w in wire.workspaces},
+                limits=RequestLimits(
+                    wire.limits.max_header_bytes,
+                    wire.limits.max_body_bytes,
+                    wire.limits.header_timeout_ms / 1000,
+                    wire.limits.idle_timeout_ms / 1000,
+                ),
+            )
+        )
+    except (msgspec.DecodeError, KeyError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+
+
+def decode_endpoint(endpoint_id: str, value: bytes) -> Result[ListedEndpoint, str]:
+    """Return an endpoint, or why its entry names none."""
+    try:
+        wire = msgspec.json.decode(value, type=WireEndpoint)
+        address, _, port = wire.address.rpartition(":")
+        return Ok(
+            ListedEndpoint(
+                host=endpoint_id,
+                incarnation=wire.started_ms,
+                address=address,
+                port=int(port),
+                data_centre=wire.data_centre,
+                deployment=wire.service,
+                status=STATUSES_BY_NAME[wire.state],
+                slots=wire.slots,
+                is_reclaimable=wire.is_reclaimable,
+            )
+        )
+    except (msgspec.DecodeError, KeyError, ValueError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+
+
+def _route(wire: WireRoute) -> Route:
+    shares = tuple(ServiceShare(s.service, s.weight) for s in wire.shares)
+    return Route(
+        name=wire.name,
+        hostname=wire.hostname.lower(),
+        prefix=wire.prefix,
+        kind=KINDS_BY_NAME[wire.kind],
+        timeout_seconds=wire.timeout_ms / 1000,
+        latency_target_seconds=wire.target_latency_ms / 1000,
+        priority=wire.priority,
+        services=shares or (ServiceShare(wire.service, 1),),
+        max_attempts=max(1, wire.max_attempts),
+        is_public=wire.is_public,
+        may_resume=wire.may_resume,
+        max_gap_seconds=None if wire.max_gap_ms is None else wire.max_gap_ms / 1000,
+    )
+
+
+def _service(wire: WireService) -> Service:
+    scaling = wire.scaling
+    return Service(
+        name=wire.name,
+        max_connections=wire.max_connections,
+        cache_tokens=wire.engine.cache_tokens if wire.engine else 0,
+        scaling=None
+        if scaling is None
+        else ScalingBounds(
+            scaling.min_engines,
+            scaling.max_engines,
+            scaling.start_seconds,
+            scaling.reclaimable_price,
+            scaling.price_by_data_centre,
+        ),
+    )
+
+
+def _workspace(wire: WireWorkspace) -> SiteWorkspace:
+    quota = None
+    if wire.rate_per_s:
+        counts_tokens = wire.unit == TOKEN_UNIT
+        quota = Quota(wire.rate_per_s, wire.burst, counts_tokens, wire.plain_tokens)
+    return SiteWorkspace(wire.name, frozenset(wire.keys), wire.priority, quota)
--- /dev/null
+++ b/src/amaranthhollow/platform/endpoints.py
@@ -0,0 +1,91 @@
+"""Writes requests to endpoints of the platform and reads the heads of answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from amaranthhollow.platform import names
+from amaranthhollow.serving.messages import (
+    RequestHead,
+    encode_request_head,
+    find_header,
+    without_connection_headers,
+)
+from amaranthhollow.serving.request import AnswerFacts, EndpointLoad
+
+if TYPE_CHECKING:
+    from amaranthhollow.serving.messages import Header, ResponseHead
+    from amaranthhollow.serving.request import CallerRequest, Dispatch
+
+__all__ = ["decode_answer", "encode_dispatch", "expected_echo"]
+
+MISDIRECTED = 421
+# The endpoint closes an idle connection after what it announces; a request that is
+# sent within the last second of it may cross the close.
+IDLE_MARGIN_SECONDS = 1.0
+
+
+def encode_dispatch(request: CallerRequest, dispatch: Dispatch) -> bytes:
+    """Encode a caller's request as the endpoint is to get it."""
+    milliseconds = max(1, int(dispatch.seconds_left * 1000))
+    headers: list[Header] = [
+        *request.forwarded,
+        (names.DEADLINE, b"%d" % milliseconds),
+        (names.EXPECTED_INSTANCE, dispatch.endpoint_id.encode()),
+        (names.PRIORITY, b"%d" % dispatch.priority),
+    ]
+    if dispatch.workspace is not None:
+        headers.append((names.WORKSPACE, dispatch.workspace.encode()))
+    if dispatch.last_event_id is not None:
+        headers.append((names.LAST_EVENT_ID, dispatch.last_event_id.encode("latin-1")))
+    if request.body or request.head.method not in (b"GET", b"HEAD", b"DELETE"):
+        headers.append((b"content-length", b"%d" % len(request.body)))
+    head = RequestHead(request.head.method, request.head.target, tuple(headers))
+    return encode_request_head(head) + request.body
+
+
+def expected_echo(request: CallerRequest) -> Header:
+    """Return the header that an answer to ``request`` repeats."""
+    return (names.REQUEST_ID, request.request_id.encode("latin-1"))
+
+
+def decode_answer(head: ResponseHead) -> AnswerFacts:
+    """Read what the head of an answer says."""
+    headers = head.headers
+    content_type = find_header(headers, b"content-type") or b""
+    return AnswerFacts(
+        head=head,
+        forwarded=tuple(without_connection_headers(headers)),
+        did_not_run=find_header(headers, names.NOT_RUN) is not None
+        or head.status == MISDIRECTED,
+        is_signed=find_header(headers, names.SIGNATURE) is not None,
+        is_event_stream=content_type.startswith(names.EVENT_STREAM),
+        is_stale_address=head.status == MISDIRECTED,
+        load=_load(find_header(headers, names.LOAD)),
+        idle_seconds=_idle_seconds(find_header(headers, names.KEEP_ALIVE)),
+        retry_after_seconds=_seconds(find_header(headers, names.RETRY_AFTER)),
+    )
+
+
+def _load(value: bytes | None) -> EndpointLoad | None:
+    try:
+        running, waiting, slots = map(int, (value or b"").split(b","))
+    except ValueError:
+        return None
+    return EndpointLoad(running, waiting, slots)
+
+
+def _idle_seconds(value: bytes | None) -> float | None:
+    """Read ``timeout=SECONDS`` of a Keep-Alive header, or the bare number."""
+    for item in (value or b"").split(b","):
+        seconds = _seconds(item.strip().removeprefix(b"timeout="))
+        if seconds is not None:
+            return max(0.0, seconds - IDLE_MARGIN_SECONDS)
+    return None
+
+
+def _seconds(value: bytes | None) -> float | None:
+    try:
+        return float(value) if value else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/amaranthhollow/serving/calls.py
@@ -0,0 +1,143 @@
+"""Whole HTTP calls to one address, for the platform's services and other daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from amaranthhollow.serving.endpoint_connection import (
+    AnswerEnd,
+    BodyPart,
+    ConnectionLost,
+    connect,
+)
+from amaranthhollow.serving.messages import (
+    RequestHead,
+    ResponseHead,
+    encode_request_head,
+)
+
+if TYPE_CHECKING:
+    from amaranthhollow.serving.endpoint_connection import EndpointConnection
+    from amaranthhollow.serving.messages import Header
+
+__all__ = ["Call", "CallAnswer", "CallError", "CallFailure", "HttpCaller"]
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+MAX_IDLE_CONNECTIONS = 2
+
+
+class CallFailure(Enum):
+    """What a failed call may have done."""
+
+    NOTHING_CHANGED = "nothing changed"
+    UNCERTAIN = "uncertain"
+
+
+@dataclass(frozen=True)
+class CallError:
+    """A call without an answer."""
+
+    failure: CallFailure
+    detail: str
+
+
+@dataclass(frozen=True)
+class Call:
+    """A request to the address of an :class:`HttpCaller`."""
+
+    method: bytes
+    target: bytes
+    body: bytes = b""
+    headers: tuple[Header, ...] = ()
+
+
+@dataclass(frozen=True)
+class CallAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class HttpCaller:
+    """Calls one server over a few kept connections."""
+
+    def __init__(self, address: str, port: int) -> None:
+        """Call the server at ``address``."""
+        self._address = address
+        self._port = port
+        self._idle: list[EndpointConnection] = []
+
+    async def call(
+        self, call: Call, timeout_seconds: float
+    ) -> Result[CallAnswer, CallError]:
+        """Send ``call`` and return its whole answer."""
+        connection: EndpointConnection | None = None
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                connection = await self._connection()
+                if connection is None:
+                    error = CallError(CallFailure.NOTHING_CHANGED, "no connection")
+                    return Err(error)
+                connection.send(self._encode(call))
+                result = await _read_answer(connection)
+        except TimeoutError:
+            self._discard(connection)
+            return Err(CallError(CallFailure.UNCERTAIN, "timed out"))
+        except asyncio.CancelledError:
+            self._discard(connection)
+            raise
+        self._release(connection)
+        return result
+
+    async def _connection(self) -> EndpointConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.close()
+        return await connect(self._address, self._port, CONNECT_TIMEOUT_SECONDS)
+
+    def _encode(self, call: Call) -> bytes:
+        host = f"{self._address}:{self._port}".encode()
+        headers: list[Header] = [(b"host", host), *call.headers]
+        if call.body or call.method != b"GET":
+            headers.append((b"content-type", b"application/json"))
+            headers.append((b"content-length", b"%d" % len(call.body)))
+        head = RequestHead(call.method, call.target, tuple(headers))
+        return encode_request_head(head) + call.body
+
+    def _release(self, connection: EndpointConnection) -> None:
+        if connection.is_reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _discard(self, connection: EndpointConnection | None) -> None:
+        """Drop the connection of a failed call, and idle ones that may hang too."""
+        if connection is not None:
+            connection.abort()
+        while self._idle:
+            self._idle.pop().close()
+
+
+async def _read_answer(
+    connection: EndpointConnection,
+) -> Result[CallAnswer, CallError]:
+    status = 0
+    body = bytearray()
+    while True:
+        match await connection.read():
+            case ResponseHead() as head:
+                status = head.status
+            case BodyPart(data):
+                body += data
+            case AnswerEnd():
+                return Ok(CallAnswer(status, bytes(body)))
+            case ConnectionLost() as lost:
+                return Err(CallError(CallFailure.UNCERTAIN, lost.detail))
--- /dev/null
+++ b/src/amaranthhollow/serving/listener.py
@@ -0,0 +1,93 @@
+"""Listens for HTTP requests and keeps the connections of callers."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from amaranthhollow.serving.caller_connection import CallerConnection
+from amaranthhollow.serving.clock import now
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from amaranthhollow.serving.exchange import Exchange
+
+__all__ = ["Listener", "ListenerLimits"]
+
+BACKLOG = 1024
+SWEEP_SECONDS = 0.25
+
+
+@dataclass(frozen=True)
+class ListenerLimits:
+    """What a client may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_seconds: float = 3.0
+    idle_timeout_seconds: float = 15.0
+
+
+class Listener:
+    """Accepts connections at one address and hands each request to a handler.
+
+    Example::
+
+        listener = Listener(handle, "127.0.0.1", 8080)
+        await listener.start()
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[Exchange], Awaitable[None]],
+        address: str,
+        port: int,
+    ) -> None:
+        """Serve ``handle`` at ``address``; it starts with :meth:`start`."""
+        self.handle = handle
+        self.limits = ListenerLimits()
+        self.is_draining = False
+        self.connections: set[CallerConnection] = set()
+        self._address = address
+        self._port = port
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    @property
+    def open_exchanges(self) -> int:
+        """Requests that are being read or answered."""
+        return sum(1 for c in self.connections if not c.is_idle)
+
+    async def start(self) -> None:
+        """Bind the address and accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self),
+            self._address,
+            self._port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+        self._sweeper = asyncio.create_task(self._sweep_forever())
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is being read or answered."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
+
+    def stop(self) -> None:
+        """Stop accepting connections."""
+        if self._server is not None:
+            self._server.close()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            instant = now()
+            for connection in list(self.connections):
+                connection.expire(instant)
--- /dev/null
+++ b/src/amaranthhollow/serving/request.py
@@ -0,0 +1,89 @@
+"""A caller's request and an endpoint's answer, free of any wire format's names."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from amaranthhollow.serving.messages import Header, RequestHead, ResponseHead
+
+__all__ = ["AnswerFacts", "CallerRequest", "Dispatch", "EndpointLoad", "PromptPart"]
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """A part of a prompt that requests may share, by its identifier."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """One attempt of a client.
+
+    ``deadline`` is the instant until which the client waits, if it says so.
+    ``forwarded`` are the headers that go to the endpoint as they came.
+    """
+
+    request_id: str
+    hostname: str
+    head: RequestHead
+    forwarded: tuple[Header, ...]
+    body: bytes
+    arrived_at: float
+    deadline: float | None
+    key: str | None
+    prompt: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    last_event_id: str | None = None
+
+    @property
+    def path(self) -> str:
+        """The path that selects the route."""
+        return self.head.path.decode("latin-1")
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """What an endpoint is told besides the caller's own request.
+
+    ``seconds_left`` is how long it may work. ``last_event_id`` is the event after
+    which a stream goes on.
+    """
+
+    endpoint_id: str
+    seconds_left: float
+    priority: int
+    workspace: str | None = None
+    last_event_id: str | None = None
+
+
+@dataclass(frozen=True)
+class EndpointLoad:
+    """Requests at an endpoint as it reports them, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True)
+class AnswerFacts:
+    """What the head of an endpoint's answer says.
+
+    ``did_not_run`` is the endpoint's promise that it has not begun the request.
+    ``idle_seconds`` is how long it keeps the connection, if it says so.
+    """
+
+    head: ResponseHead
+    forwarded: tuple[Header, ...]
+    did_not_run: bool
+    is_signed: bool
+    is_event_stream: bool
+    is_stale_address: bool
+    load: EndpointLoad | None = None
+    idle_seconds: float | None = None
+    retry_after_seconds: float | None = None
--- a/src/amaranthhollow/platform/claim_store.py
+++ b/src/amaranthhollow/state/claim_store.py
@@ -47,13 +47,13 @@
 )
 from amaranthhollow.decisions.claim_state import ShardState, unfinished_claims
 from amaranthhollow.decisions.claims import step
-from amaranthhollow.platform.key_value import CallFailure
+from amaranthhollow.state.key_value import CallFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from amaranthhollow.peers.claim_replies import ClaimOutcome, ClaimResult
-    from amaranthhollow.platform.key_value import KeyValueClient, KeyValueError
+    from amaranthhollow.state.key_value import KeyValueClient, KeyValueError
 
 __all__ = ["ClaimStore"]
 
--- a/src/amaranthhollow/platform/configuration_store.py
+++ b/src/amaranthhollow/state/configuration_store.py
@@ -18,12 +18,12 @@
     encode,
 )
 from amaranthhollow.decisions.statechart import load_chart
-from amaranthhollow.platform.key_value import CallFailure
+from amaranthhollow.state.key_value import CallFailure
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from amaranthhollow.platform.key_value import KeyValueClient, KeyValueError
+    from amaranthhollow.state.key_value import KeyValueClient, KeyValueError
 
 __all__ = [
     "Accepted",
--- a/src/amaranthhollow/platform/key_value.py
+++ b/src/amaranthhollow/state/key_value.py
@@ -5,13 +5,14 @@
 import asyncio
 from base64 import b64decode, b64encode
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
 
+from amaranthhollow.serving.calls import CallFailure
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -26,13 +27,6 @@
 CALL_TIMEOUT_SECONDS = 1.0
 
 
-class CallFailure(Enum):
-    """What a failed call may have done."""
-
-    NOTHING_CHANGED = "nothing changed"
-    UNCERTAIN = "uncertain"
-
-
 @dataclass(frozen=True)
 class KeyValueError:
     """A call that failed, and whether it may have taken effect."""
--- a/src/amaranthhollow/platform/lease_store.py
+++ b/src/amaranthhollow/state/lease_store.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from amaranthhollow.platform.key_value import KeyValueClient, Lease
+    from amaranthhollow.state.key_value import KeyValueClient, Lease
 
 __all__ = ["NamedLease"]
 
