Order engines by the demand that hosts sample

Ruled out: routing (busiest endpoint 1.06 of the mean), rejections (130 of 3331). Change: each host samples which engines have prompts waiting, by all hosts' reports; the holder orders what keeps under half of them busy after the loss of one data centre, and engines on demand only for what the platform refuses.

--- a/src/amaranthhollow/decisions/planner.py
+++ b/src/amaranthhollow/decisions/planner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import ceil
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -18,6 +19,10 @@
 
 __all__ = ["EngineCounts", "EngineOrder", "count_engines", "plan_service"]
 
+# With two engines in a data centre, one may crash without the others' caches
+# having to take all of its prompts.
+MIN_ENGINES = 2
+
 
 @dataclass(frozen=True)
 class EngineOrder:
@@ -62,43 +67,47 @@
     bounds: ScalingBounds,
     counts: Mapping[str, EngineCounts],
     needed: int,
+    unavailable: Collection[str] = (),
 ) -> list[EngineOrder]:
     """Return the wanted state of every data centre.
 
-    ``needed`` engines are to be left when one data centre is lost. Engines on
-    demand stay until reclaimable ones take work in their place.
+    ``needed`` engines are to be left when one data centre is lost. Engines on demand
+    stay until reclaimable ones take work in their place, and stand in for those that
+    the data centres in ``unavailable`` cannot give.
     """
     centres = sorted(
         bounds.price_by_data_centre, key=bounds.price_by_data_centre.__getitem__
     )
-    wanted = _reclaimable_by_centre(centres, bounds, needed)
-    missing = needed - sum(
-        min(wanted[centre], _counts(counts, centre).reclaimable) for centre in centres
-    )
+    each = _reclaimable_in_each(len(centres), bounds, needed)
+    missing = _missing(each, needed, counts, unavailable)
     orders = []
     for centre in centres:
-        here = _counts(counts, centre)
-        room = bounds.max_engines - wanted[centre]
-        is_replaced = here.reclaimable >= min(wanted[centre], 1)
-        on_demand = 0 if is_replaced else here.on_demand
-        if missing > 0:
-            on_demand = max(on_demand, min(room, missing))
-        on_demand = max(0, min(on_demand, room))
-        missing -= on_demand
-        orders.append(EngineOrder(service, centre, True, wanted[centre]))
+        here = counts.get(centre, EngineCounts())
+        room = bounds.max_engines - each
+        kept = 0 if here.reclaimable else here.on_demand
+        on_demand = min(room, max(kept, missing))
+        missing = max(0, missing - on_demand)
+        orders.append(EngineOrder(service, centre, True, each))
         orders.append(EngineOrder(service, centre, False, on_demand))
     return orders
 
 
-def _reclaimable_by_centre(
-    centres: list[str], bounds: ScalingBounds, needed: int
-) -> dict[str, int]:
-    """Spread engines evenly so that ``needed`` are left without one data centre."""
-    others = max(1, len(centres) - 1)
-    each = -(-needed // others)
-    count = max(bounds.min_engines, min(bounds.max_engines, each))
-    return dict.fromkeys(centres, count)
+def _reclaimable_in_each(centres: int, bounds: ScalingBounds, needed: int) -> int:
+    """Return how many each data centre gets, so that ``needed`` outlast one loss."""
+    each = max(MIN_ENGINES, ceil(needed / max(1, centres - 1)))
+    return max(bounds.min_engines, min(bounds.max_engines, each))
 
 
-def _counts(counts: Mapping[str, EngineCounts], centre: str) -> EngineCounts:
-    return counts.get(centre, EngineCounts())
+def _missing(
+    each: int,
+    needed: int,
+    counts: Mapping[str, EngineCounts],
+    unavailable: Collection[str],
+) -> int:
+    """Return how many engines on demand stand in for what cannot be had."""
+    present = sum(count.reclaimable for count in counts.values())
+    refused = sum(
+        max(0, each - counts.get(centre, EngineCounts()).reclaimable)
+        for centre in unavailable
+    )
+    return max(0, min(refused, needed - present))
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -8,6 +8,7 @@
 import logbook
 from result import Err
 
+from amaranthhollow.decisions.demand import DemandEstimate, busy_engines
 from amaranthhollow.decisions.planner import (
     EngineCounts,
     EngineOrder,
@@ -18,20 +19,20 @@
 from amaranthhollow.serving.clock import now
 
 if TYPE_CHECKING:
+    from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.decisions.site import Service
     from amaranthhollow.entry.host import Host
     from amaranthhollow.platform.cloud import CloudClient
 
 __all__ = ["ScalingDuty"]
 
-TICK_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 0.8
 # An order that had no effect is given again when the engines should have started.
 REPEAT_SECONDS = 6.0
 # Engines are refused where they are not to be had; that lasts several seconds.
 UNAVAILABLE_SECONDS = 3.0
-# Engines that are to be left when a data centre is lost.
-NEEDED_ENGINES = 6
+SAMPLE_SECONDS = 0.1
+SAMPLES_PER_PLAN = 5
 
 log = logbook.Logger("scaling")
 
@@ -46,34 +47,65 @@
         self._token = 0
         self._sent_by_subject: dict[tuple[str, str, bool], EngineOrder] = {}
         self._next_at_by_subject: dict[tuple[str, str, bool], float] = {}
+        self._refused_until_by_subject: dict[tuple[str, str, bool], float] = {}
+        self._demand_by_service: dict[str, DemandEstimate] = {}
 
     async def run(self) -> None:
-        """Order engines until cancelled."""
+        """Sample the demand and order engines until cancelled."""
+        samples = 0
         while True:
-            await asyncio.sleep(TICK_SECONDS)
-            holding = self._host.duty.holding
-            configuration = self._host.site.configuration
-            if holding is None or configuration is None:
-                continue
-            if self._token != holding.fencing_token:
-                self._token = holding.fencing_token
-                self._sent_by_subject.clear()
-                self._next_at_by_subject.clear()
-            for service in configuration.services_by_name.values():
-                if service.scaling is not None:
+            await asyncio.sleep(SAMPLE_SECONDS)
+            services = self._scaled_services()
+            for service in services:
+                self._sample(service)
+            samples += 1
+            if samples % SAMPLES_PER_PLAN == 0 and self._holds_duty():
+                for service in services:
                     await self._scale(service)
 
-    async def _scale(self, service: Service) -> None:
-        endpoints = [
+    def _scaled_services(self) -> list[Service]:
+        configuration = self._host.site.configuration
+        if configuration is None:
+            return []
+        services = configuration.services_by_name.values()
+        return [service for service in services if service.scaling is not None]
+
+    def _holds_duty(self) -> bool:
+        holding = self._host.duty.holding
+        if holding is not None and self._token != holding.fencing_token:
+            self._token = holding.fencing_token
+            self._sent_by_subject.clear()
+            self._next_at_by_subject.clear()
+        return holding is not None
+
+    def _endpoints(self, service: Service) -> list[Endpoint]:
+        return [
             endpoint
             for endpoint in self._host.site.endpoints.all()
-            if endpoint.listed.deployment == service.name
+            if endpoint.listed.deployment == service.name and endpoint.is_listed
         ]
-        counts = count_engines(endpoints)
-        plan = plan_service(service.name, service.scaling, counts, NEEDED_ENGINES)
+
+    def _sample(self, service: Service) -> None:
+        chooser = self._host.chooser
+        busy = busy_engines(chooser.load(e.host) for e in self._endpoints(service))
+        demand = self._demand_by_service.get(service.name, DemandEstimate())
+        self._demand_by_service[service.name] = demand.sampled(busy, now())
+
+    async def _scale(self, service: Service) -> None:
+        counts = count_engines(self._endpoints(service))
+        needed = self._demand_by_service[service.name].needed_engines
+        instant = now()
+        unavailable = {
+            data_centre
+            for (name, data_centre, is_reclaimable), until in (
+                self._refused_until_by_subject.items()
+            )
+            if name == service.name and is_reclaimable and instant < until
+        }
+        plan = plan_service(service.name, service.scaling, counts, needed, unavailable)
         for order in plan:
             if self._is_due(order, counts.get(order.data_centre, EngineCounts())):
-                await self._send(order)
+                await self._send(order, needed)
 
     def _is_due(self, order: EngineOrder, counts: EngineCounts) -> bool:
         if now() < self._next_at_by_subject.get(order.subject, 0.0):
@@ -82,7 +114,7 @@
         is_known = self._sent_by_subject.get(order.subject) == order
         return not is_known or present != order.count
 
-    async def _send(self, order: EngineOrder) -> None:
+    async def _send(self, order: EngineOrder, needed: int) -> None:
         host = self._host
         if not host.duty.may_act(now(), CALL_TIMEOUT_SECONDS):
             return
@@ -94,6 +126,9 @@
         self._next_at_by_subject[order.subject] = now() + pause
         if is_taken:
             self._sent_by_subject[order.subject] = order
+        else:
+            until = now() + 2 * UNAVAILABLE_SECONDS
+            self._refused_until_by_subject[order.subject] = until
         log.info(
             "engines ordered" if is_taken else "engines not to be had",
             extra={
@@ -101,6 +136,7 @@
                 "data_centre": order.data_centre,
                 "reclaimable": order.is_reclaimable,
                 "count": order.count,
+                "needed": needed,
                 "fencing_token": self._token,
             },
         )
