Count what another host admits for a workspace from its first report on

Change: only a peer's first report as a whole is a baseline; counts are forgotten a minute after a process was last heard of.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from amaranthhollow.decisions.limits import Admit, Refuse
@@ -42,7 +42,6 @@
     share_level: float
     updated_at: float
     spent: float = 0.0
-    spent_by_host: dict[str, float] = field(default_factory=dict)
 
 
 class QuotaLimiter:
@@ -51,6 +50,7 @@
     def __init__(self) -> None:
         """Start with no workspace known."""
         self._buckets_by_workspace: dict[str, _Bucket] = {}
+        self._spent_by_host: dict[str, dict[str, float]] = {}
 
     def admit(
         self, workspace: str, quota: Quota, cost: float, hosts: HostCounts, now: float
@@ -73,15 +73,23 @@
         return {w: b.spent for w, b in self._buckets_by_workspace.items()}
 
     def learn(self, host: str, spent_by_workspace: Mapping[str, float]) -> None:
-        """Take in another host's cumulative counts; ``host`` names its incarnation."""
+        """Take in another host's cumulative counts; ``host`` names its incarnation.
+
+        The first report of a host says nothing of when it was spent; later ones do,
+        also of workspaces that they name for the first time.
+        """
+        known = self._spent_by_host.get(host)
+        self._spent_by_host[host] = dict(spent_by_workspace)
+        if known is None:
+            return
         for workspace, spent in spent_by_workspace.items():
             bucket = self._buckets_by_workspace.get(workspace)
-            if bucket is None:
-                continue
-            known = bucket.spent_by_host.get(host)
-            bucket.spent_by_host[host] = max(spent, known or 0.0)
-            if known is not None and spent > known:
-                bucket.level -= spent - known
+            if bucket is not None:
+                bucket.level -= max(0.0, spent - known.get(workspace, 0.0))
+
+    def forget(self, host: str) -> None:
+        """Forget a process that is gone."""
+        self._spent_by_host.pop(host, None)
 
     def _refilled(
         self, workspace: str, quota: Quota, hosts: HostCounts, now: float
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -39,7 +39,7 @@
     duty: DutyState
     quotas: QuotaLimiter = field(default_factory=QuotaLimiter)
     budgets_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
-    usage_by_host: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
+    usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
     host_counts: HostCounts = field(default_factory=HostCounts)
     reachable_hosts: tuple[str, ...] = ()
     is_draining: bool = False
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -41,6 +41,8 @@
 REACHABLE_SECONDS = 1.0
 # A host that was heard of this long ago may still serve callers behind a partition.
 KNOWN_SECONDS = 15.0
+# The counts of a process that ended are needed until its last window is reported.
+REPORT_RETENTION_SECONDS = 60.0
 FETCH_TIMEOUT_SECONDS = 0.7
 LOST_TRY_ROUNDS = 8
 
@@ -69,7 +71,7 @@
         self._nonce = host.random.getrandbits(32)
         self._asked_by_nonce: dict[int, _Asked] = {}
         self._heard_at_by_host: dict[str, float] = {}
-        self._incarnations_by_host: dict[str, int] = {}
+        self._heard_at_by_process: dict[str, float] = {}
         self._callers_by_address: dict[str, HttpCaller] = {}
         self._fetching: set[bytes] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -171,6 +173,11 @@
         for name in [h for h, age in ages.items() if age >= KNOWN_SECONDS]:
             del self._heard_at_by_host[name]
             host.chooser.forget_host(name)
+        for process, at in list(self._heard_at_by_process.items()):
+            if instant - at >= REPORT_RETENTION_SECONDS:
+                del self._heard_at_by_process[process]
+                host.quotas.forget(process)
+                host.usage_by_process.pop(process, None)
 
     # Messages.
 
@@ -222,11 +229,12 @@
     def _take_in(self, name: str, incarnation: int, report: HostReport) -> None:
         host = self._host
         self._heard_at_by_host[name] = now()
-        self._incarnations_by_host[name] = incarnation
+        process = f"{name}@{incarnation}"
+        self._heard_at_by_process[process] = now()
         loads = {e: SentLoad(*load) for e, load in report.loads.items()}
         host.chooser.learn(name, loads)
-        host.quotas.learn(f"{name}@{incarnation}", report.spent)
-        host.usage_by_host[f"{name}@{incarnation}"] = report.usage
+        host.quotas.learn(process, report.spent)
+        host.usage_by_process[process] = report.usage
 
     def _take_echo(self, echo: Echo) -> None:
         asked = self._asked_by_nonce.pop(echo.nonce, None)
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -111,7 +111,7 @@
 
     async def _store_report(self, window: int, token: int) -> bytes | None:
         host = self._host
-        reports = [host.usage.report(), *host.usage_by_host.values()]
+        reports = [host.usage.report(), *host.usage_by_process.values()]
         report = encode_usage(window, total_counts(window, reports))
         kept = {**self._reports_by_window, window: report}
         kept = {w: kept[w] for w in sorted(kept)[-REPORTS_KEPT:]}
--- /dev/null
+++ b/tests/decisions/test_sharing.py
@@ -0,0 +1,117 @@
+"""Quotas, repeats, freshness and usage, shared among hosts without a central count."""
+
+from __future__ import annotations
+
+import pytest
+
+from amaranthhollow.decisions.freshness import Proof, read_is_due, vouched_proof
+from amaranthhollow.decisions.limits import Admit, Refuse
+from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
+from amaranthhollow.decisions.retries import RepeatBudget
+from amaranthhollow.decisions.site import Quota
+from amaranthhollow.decisions.usage import UsageCounts, total_counts
+
+HOSTS = 8
+RATE = 100_000.0
+QUOTA = Quota(RATE, RATE, counts_tokens=True, plain_tokens=200)
+STEP_SECONDS = 0.01
+EXCHANGE_STEPS = 25
+WINDOW_SECONDS = 8.0
+# What the users' pages allow beyond the rate over the window, and the burst.
+SLACK = 190_000
+OVER = 0.1
+
+
+def admitted_in_windows(demand_factor, *, hears_others, seconds=20.0):
+    """Return the most that all hosts admit in any window, in tokens."""
+    limiters = [QuotaLimiter() for _ in range(HOSTS)]
+    counts = HostCounts(HOSTS, HOSTS if hears_others else 1)
+    cost = 2_000.0
+    debts = [0.0] * HOSTS
+    admitted = []
+    for step in range(int(seconds / STEP_SECONDS)):
+        now = step * STEP_SECONDS
+        for host, limiter in enumerate(limiters):
+            debts[host] += demand_factor * RATE / HOSTS * STEP_SECONDS
+            while debts[host] >= cost:
+                debts[host] -= cost
+                decision = limiter.admit("w", QUOTA, cost, counts, now)
+                if isinstance(decision, Admit):
+                    admitted.append((now, cost))
+        if hears_others and step % EXCHANGE_STEPS == 0:
+            for host, limiter in enumerate(limiters):
+                for other, spender in enumerate(limiters):
+                    if other != host:
+                        limiter.learn(str(other), spender.spent())
+    return max(
+        sum(c for at, c in admitted if start <= at < start + WINDOW_SECONDS)
+        for start, _ in admitted[::50]
+    )
+
+
+@pytest.mark.parametrize("demand_factor", [1.5, 4.0, 8.0])
+@pytest.mark.parametrize("hears_others", [True, False])
+def test_a_workspace_that_asks_for_too_much_stays_within_its_quota(
+    demand_factor, hears_others
+):
+    most = admitted_in_windows(demand_factor, hears_others=hears_others)
+
+    assert most <= (RATE * WINDOW_SECONDS + RATE) * (1 + OVER) + SLACK
+
+
+def test_a_workspace_within_its_quota_is_not_refused():
+    limiter, counts = QuotaLimiter(), HostCounts(HOSTS, HOSTS)
+    decisions = [
+        limiter.admit("w", QUOTA, 2_000.0, counts, step * 0.03) for step in range(500)
+    ]
+
+    assert not [d for d in decisions if isinstance(d, Refuse)]
+
+
+def test_repeats_of_all_hosts_stay_within_the_budget():
+    ratio, slack, window = 0.2, 56, 10.0
+    budgets = [RepeatBudget(ratio, slack, window) for _ in range(HOSTS)]
+    requests = repeats = 0
+    for step in range(1000):
+        now = step / 100
+        for budget in budgets:
+            budget.requested(now)
+            requests += 1
+            repeats += budget.take(HOSTS, now)
+
+    assert 0 < repeats <= ratio * requests + slack
+
+
+def test_a_delayed_answer_makes_no_proof_younger():
+    proof = vouched_proof(asked_at=10.0, age_seconds=0.4)
+
+    assert proof.age(now=15.0) == pytest.approx(5.4)
+    assert proof.renewed(9.0) == proof
+
+
+def test_the_first_host_reads_and_the_next_stands_by():
+    proof = Proof(10.0)
+
+    assert read_is_due(proof, rank=0, now=10.7)
+    assert not read_is_due(proof, rank=1, now=10.7)
+    assert read_is_due(proof, rank=1, now=11.2)
+    assert read_is_due(Proof(), rank=3, now=0.0)
+
+
+def test_usage_is_counted_in_the_window_in_which_a_request_began():
+    first, second = UsageCounts(5.0), UsageCounts(5.0)
+    first.began("w", 9.9)
+    first.began("w", 10.1)
+    second.began("w", 10.2)
+    reports = [first.report(), second.report()]
+
+    assert total_counts(1, reports) == {"w": 1}
+    assert total_counts(2, reports) == {"w": 2}
+
+
+def test_old_windows_are_forgotten():
+    usage = UsageCounts(5.0)
+    for window in range(100):
+        usage.began("w", window * 5.0)
+
+    assert len(usage.report()) == 5
