Give a claim that a daemon makes itself an identifier of its own

Cause: when a shard's owner did not answer, the daemon claimed the key by itself under the same identifier. The owner's wait ended late, it withdrew 'its' claim, and the record of a claim that was granted, run and answered became not run; the key was open again. Traced by test_claims: the head went from ANSWERED to NOT_RUN (seen failing first; the state machine has the step now). Ruled out: a late write of the head (compare-and-swap refuses it). Change: the own claim has its own identifier and names the one it supersedes; an answer and an unknown outcome are final in apply_outcome. Also: 503 with Retry-After in place of 401 while no configuration is in force.

--- a/src/amaranthhollow/decisions/claim_messages.py
+++ b/src/amaranthhollow/decisions/claim_messages.py
@@ -58,13 +58,9 @@
 
 @dataclass(frozen=True)
 class ClaimRequested:
-    """A caller sent a non-idempotent request; ``record`` is its claim.
-
-    ``is_doubtful``: another daemon was asked to write it, and may yet do so.
-    """
+    """A caller sent a non-idempotent request; ``record`` is its claim."""
 
     record: ClaimRecord
-    is_doubtful: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/amaranthhollow/decisions/claim_records.py
+++ b/src/amaranthhollow/decisions/claim_records.py
@@ -25,6 +25,7 @@
 
 SHARD_COUNT = 8
 DIGEST_BYTES = 16
+SUPERSEDING_SUFFIX = "+"
 
 
 class ClaimState(IntEnum):
@@ -54,6 +55,10 @@
 
     ``key_digest`` covers workspace, service and key; ``request_digest`` covers
     method, path, query and body. Instants are seconds since the Unix epoch.
+
+    ``supersedes`` names a claim that the same daemon had asked the shard's owner
+    for, without an answer. It will never send the request under that claim, so this
+    one may take its place; what the owner does with the other one is of no effect.
     """
 
     key_digest: bytes
@@ -62,6 +67,21 @@
     expires_at: float
     state: ClaimState = ClaimState.CLAIMED
     answer: Answer | None = None
+    supersedes: str = ""
+
+    @property
+    def superseded(self) -> ClaimRecord | None:
+        """The claim that this one takes the place of, if there is one."""
+        if not self.supersedes:
+            return None
+        return msgspec.structs.replace(self, claim_id=self.supersedes, supersedes="")
+
+    def superseding(self) -> ClaimRecord:
+        """Return the claim to make when the owner did not answer this one."""
+        claim_id = f"{self.claim_id}{SUPERSEDING_SUFFIX}"
+        return msgspec.structs.replace(
+            self, claim_id=claim_id, supersedes=self.claim_id
+        )
 
     @property
     def is_open_for_claim(self) -> bool:
--- a/src/amaranthhollow/decisions/claim_resolution.py
+++ b/src/amaranthhollow/decisions/claim_resolution.py
@@ -35,7 +35,7 @@
         elif known is not None and _is_withdrawn(known, record):
             reason = RefusalReason.WITHDRAWN
             actions.append(RefuseClaim(record.claim_id, reason))
-        elif known is None or known.is_open_for_claim:
+        elif known is None or known.is_open_for_claim or _supersedes(record, known):
             claimed.add(record.key_digest)
             unknown.append(waiting)
         elif known.claim_id == record.claim_id:
@@ -70,6 +70,11 @@
     return known.claim_id == record.claim_id and known.is_open_for_claim
 
 
+def _supersedes(record: ClaimRecord, known: ClaimRecord) -> bool:
+    """Tell whether a claim takes the place of one that its daemon never sent under."""
+    return known.state is ClaimState.CLAIMED and record.supersedes == known.claim_id
+
+
 def _answer_repeat(record: ClaimRecord, known: ClaimRecord) -> Action:
     if known.request_digest != record.request_digest:
         return RefuseClaim(record.claim_id, RefusalReason.REQUEST_DIFFERS)
--- a/src/amaranthhollow/decisions/claim_shard.py
+++ b/src/amaranthhollow/decisions/claim_shard.py
@@ -148,7 +148,8 @@
 ) -> ClaimHead:
     """Return ``head`` with the outcome of one claim recorded.
 
-    A claim that was withdrawn before its write was confirmed may be absent. It
+    Only a claim without an outcome gets one: an answer and an unknown outcome are
+    final. A claim that was withdrawn before its write was confirmed may be absent. It
     then leaves a NOT_RUN record, so that a write of it still under way conflicts.
     """
     claim = outcome.record
@@ -156,7 +157,8 @@
     if current is None or current.is_open_for_claim:
         is_ours = outcome.state is ClaimState.NOT_RUN
     else:
-        is_ours = current.claim_id == claim.claim_id
+        is_without_outcome = current.state is ClaimState.CLAIMED
+        is_ours = is_without_outcome and current.claim_id == claim.claim_id
     if not is_ours:
         return head
     others = (r for r in head.records if r.key_digest != claim.key_digest)
--- a/src/amaranthhollow/decisions/claims.py
+++ b/src/amaranthhollow/decisions/claims.py
@@ -89,10 +89,8 @@
 
 def _request(state: ShardState, event: ClaimRequested, now: float) -> Step:
     record = event.record
-    if event.is_doubtful:
-        state = replace(state, doubtful=state.doubtful | {record.claim_id})
     if now < state.retry_at:
-        if event.is_doubtful:
+        if record.supersedes:
             state = _close_as_not_run(state, record)
         return Step(state, (_unavailable(record), WakeAt(state.retry_at)))
     waiting = (*state.waiting, WaitingClaim(record))
@@ -108,16 +106,18 @@
     if is_written:
         claims = tuple(c for c in state.batch.claims if c.claim_id != claim_id)
         state = replace(state, batch=replace(state.batch, claims=claims))
-    if is_written or claim_id in state.doubtful:
+    if is_written or record.supersedes or claim_id in state.doubtful:
         state = _close_as_not_run(state, record)
     return state
 
 
 def _close_as_not_run(state: ShardState, record: ClaimRecord) -> ShardState:
-    closing = OutcomeReported(record, ClaimState.NOT_RUN)
+    """Close a claim, and last the one it supersedes: the owner may still write it."""
+    closed = [record] if record.superseded is None else [record, record.superseded]
+    closing = tuple(OutcomeReported(item, ClaimState.NOT_RUN) for item in closed)
     return replace(
         state,
-        outcomes=(*state.outcomes, closing),
+        outcomes=(*state.outcomes, *closing),
         doubtful=state.doubtful - {record.claim_id},
     )
 
@@ -195,7 +195,7 @@
         state, phase=Phase.IDLE, view=None, waiting=(), spill=None, retry_at=retry_at
     )
     for record in refused:
-        if record.claim_id in state.doubtful:
+        if record.supersedes or record.claim_id in state.doubtful:
             state = _close_as_not_run(state, record)
     actions: tuple[Action, ...] = tuple(_unavailable(record) for record in refused)
     if state.outcomes:
--- a/src/amaranthhollow/gateway/model_resource.py
+++ b/src/amaranthhollow/gateway/model_resource.py
@@ -24,6 +24,7 @@
     invalid,
 )
 from amaranthhollow.gateway.requests import (
+    configuration_in_force,
     idempotency_key,
     parse_model_request,
     read_body,
@@ -70,7 +71,7 @@
     ) -> None:
         """Answer a request for a completion."""
         node = self._node
-        configuration = node.configuration
+        configuration = configuration_in_force(node.applied)
         workspace = workspace_of(request, configuration)
         body = await read_body(request, configuration.requests)
         deadline = request_deadline(request, configuration.requests, node.now())
@@ -172,7 +173,7 @@
         self, request: falcon.asgi.Request, response: falcon.asgi.Response
     ) -> None:
         """Answer with the models."""
-        configuration = self._node.configuration
+        configuration = configuration_in_force(self._node.applied)
         workspace_of(request, configuration)
         models = tuple(
             ModelEntry(deployment.model, owned_by=name)
--- a/src/amaranthhollow/gateway/requests.py
+++ b/src/amaranthhollow/gateway/requests.py
@@ -16,9 +16,11 @@
     import falcon.asgi
 
     from amaranthhollow.configuration.model import Configuration, RequestBounds
+    from amaranthhollow.decisions.configuration import AppliedConfiguration
 
 __all__ = [
     "ModelRequest",
+    "configuration_in_force",
     "idempotency_key",
     "parse_model_request",
     "read_body",
@@ -30,6 +32,8 @@
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARACTERS = 255
 DEFAULT_MAX_TOKENS = 256
+# A host reads the configuration within a second of its start.
+NO_CONFIGURATION_RETRY_SECONDS = 1
 SAMPLING_FIELDS = (
     "temperature",
     "top_p",
@@ -67,6 +71,25 @@
         return "\n".join(f"{m['role']}: {m['content']}" for m in self.prompt)
 
 
+def configuration_in_force(applied: AppliedConfiguration) -> Configuration:
+    """Return the configuration, or refuse the request while none is known.
+
+    Only a configuration that is in force can refuse a key or a name for good.
+    """
+    if applied.revision:
+        return applied.configuration
+    raise ProblemError(
+        Problem(
+            status=503,
+            kind="no-configuration",
+            title="No configuration is in force yet",
+            detail="This host has just started; other hosts may serve the request.",
+            outcome=Outcome.NOT_RUN,
+            retry_after_seconds=NO_CONFIGURATION_RETRY_SECONDS,
+        )
+    )
+
+
 def workspace_of(request: falcon.asgi.Request, configuration: Configuration) -> str:
     """Return the workspace whose API key the request carries."""
     scheme, _, key = (request.auth or "").partition(" ")
--- a/src/amaranthhollow/gateway/service_calls.py
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
 from result import Err, Ok, Result
 
 from amaranthhollow.decisions.claim_messages import (
@@ -85,9 +86,10 @@
     record = _claim_record(node, request)
     result = await node.claims.claim(record, request.call.deadline)
     match result:
-        case GrantClaim():
+        case GrantClaim(claim_id):
             lifecycle.advance("grant")
-            return await _run_claimed(node, request, record, lifecycle)
+            granted = msgspec.structs.replace(record, claim_id=claim_id)
+            return await _run_claimed(node, request, granted, lifecycle)
         case ReplayAnswer(_, original):
             node.counters.increment("claims.replayed")
             answer = await _replay(node, original)
--- a/src/amaranthhollow/gateway/service_resource.py
+++ b/src/amaranthhollow/gateway/service_resource.py
@@ -10,6 +10,7 @@
 from amaranthhollow.gateway.lifecycle import RequestLifecycle
 from amaranthhollow.gateway.problems import ProblemError, invalid
 from amaranthhollow.gateway.requests import (
+    configuration_in_force,
     idempotency_key,
     read_body,
     request_deadline,
@@ -48,7 +49,7 @@
         **_: str,
     ) -> None:
         """Pass a call on to an endpoint of its service."""
-        configuration = self._node.configuration
+        configuration = configuration_in_force(self._node.applied)
         service_request = await self._read(request, configuration)
         is_once = _is_once(request, service_request, configuration)
         lifecycle = RequestLifecycle(
--- a/src/amaranthhollow/peers/shard_owners.py
+++ b/src/amaranthhollow/peers/shard_owners.py
@@ -65,8 +65,9 @@
     async def claim(self, record: ClaimRecord, deadline: float) -> ClaimResult:
         """Claim a key; on GrantClaim, and only then, the request may be sent.
 
-        The claim keeps its identifier when it is made here after the owner did
-        not answer, so it is granted once whichever write lands.
+        The request is sent under the claim that was granted. One that is made here
+        after the owner did not answer has an identifier of its own, and takes the
+        place of the owner's: what the owner does late cannot end it.
         """
         address = self._owner_address(record)
         if address is None:
@@ -81,7 +82,7 @@
         result = _decode(reply)
         if isinstance(result, Ok) and not _may_retry(result.ok_value):
             return result.ok_value
-        return await self._store.claim(record, deadline, is_doubtful=True)
+        return await self._store.claim(record.superseding(), deadline)
 
     async def report(
         self, record: ClaimRecord, state: ClaimState, answer: Answer | None = None
--- a/src/amaranthhollow/state/claim_store.py
+++ b/src/amaranthhollow/state/claim_store.py
@@ -83,18 +83,13 @@
         """Return the state of a shard's writer, for the dump."""
         return self._states_by_shard.get(shard, ShardState())
 
-    async def claim(
-        self, record: ClaimRecord, deadline: float, *, is_doubtful: bool = False
-    ) -> ClaimResult:
-        """Claim a key; on GrantClaim, and only then, the request may be sent.
-
-        ``is_doubtful``: another daemon was asked first and may write the claim.
-        """
+    async def claim(self, record: ClaimRecord, deadline: float) -> ClaimResult:
+        """Claim a key; on GrantClaim, and only then, the request may be sent."""
         future: asyncio.Future[ClaimResult]
         future = asyncio.get_running_loop().create_future()
         self._results_by_claim_id[record.claim_id] = future
         shard = shard_of(record.key_digest)
-        self._apply(shard, ClaimRequested(record, is_doubtful))
+        self._apply(shard, ClaimRequested(record))
         timeout = max(0.0, min(CLAIM_TIMEOUT_SECONDS, deadline - self._clock()))
         try:
             async with asyncio.timeout(timeout):
--- a/tests/daemon/test_serving.py
+++ b/tests/daemon/test_serving.py
@@ -94,3 +94,13 @@
     assert text.rstrip().endswith("data: [DONE]")
     assert text.count("data: ") == 251
     assert await asyncio.to_thread(process.wait) == 0
+
+
+async def test_a_daemon_without_configuration_refuses_no_key_for_good(site):
+    await site.start_daemon("entry-1", waits=False)
+    await site.wait_for(f"{site.url('entry-1')}/live")
+    url = f"{site.url('entry-1')}/services/filings/status/1"
+    async with site.session.get(url, headers=AUTHORIZATION) as response:
+        assert response.status == 503
+        assert int(response.headers["Retry-After"]) > 0
+        assert (await response.json())["outcome"] == "not run"
--- a/tests/decisions/claims_model.py
+++ b/tests/decisions/claims_model.py
@@ -70,7 +70,8 @@
     granted: dict[str, ClaimRecord] = field(default_factory=dict)
     ran: dict[str, ClaimRecord] = field(default_factory=dict)
     wake_at: float | None = None
-    forwarded: set[str] = field(default_factory=set)
+    forwarded: dict[str, ClaimRecord] = field(default_factory=dict)
+    given_up: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True)
@@ -92,27 +93,32 @@
         self.result_by_claim_id: dict[str, object] = {}
         self._claims = 0
 
-    def request(
-        self, daemon: Daemon, key: str, body: str = "body", *, is_doubtful: bool = False
-    ) -> ClaimRecord:
+    def request(self, daemon: Daemon, key: str, body: str = "body") -> ClaimRecord:
+        record = self._new_record(daemon, key, body)
+        self._request(daemon, record)
+        return record
+
+    def _new_record(self, daemon: Daemon, key: str, body: str) -> ClaimRecord:
         self._claims += 1
-        record = ClaimRecord(
+        return ClaimRecord(
             key_digest=digest(key),
             request_digest=digest(body),
             claim_id=f"{daemon.name}-{self._claims}",
             expires_at=self.now + RETENTION_SECONDS,
         )
+
+    def _request(self, daemon: Daemon, record: ClaimRecord) -> None:
         daemon.undecided[record.claim_id] = record
-        self._apply(daemon, ClaimRequested(record, is_doubtful))
-        return record
+        self._apply(daemon, ClaimRequested(record))
 
     def ask_owner(self, daemon: Daemon, owner: Daemon, key: str) -> None:
         """Ask another daemon to claim; its answer is lost, and it is asked here.
 
         Whatever the owner decides reaches nobody.
         """
-        record = self.request(daemon, key, is_doubtful=True)
-        owner.forwarded.add(record.claim_id)
+        record = self._new_record(daemon, key, "body")
+        owner.forwarded[record.claim_id] = record
+        self._request(daemon, record.superseding())
         self._apply(owner, ClaimRequested(record))
 
     def withdraw(self, daemon: Daemon, record: ClaimRecord) -> None:
@@ -120,6 +126,12 @@
         self.result_by_claim_id[record.claim_id] = "withdrawn"
         self._apply(daemon, ClaimWithdrawn(record))
 
+    def withdraw_forwarded(self, owner: Daemon) -> None:
+        """Let the owner's wait for a claim end that another daemon asked it for."""
+        claim_id = next(iter(owner.forwarded))
+        self._apply(owner, ClaimWithdrawn(owner.forwarded.pop(claim_id)))
+        owner.given_up.add(claim_id)
+
     def carry_out(self, daemon: Daemon) -> None:
         """Let the call under way take effect; its answer is still to come."""
         daemon.reply, daemon.call = self._effect(daemon.call), None
@@ -233,7 +245,8 @@
             self._take(daemon, action)
 
     def _take(self, daemon: Daemon, action: object) -> None:
-        if getattr(action, "claim_id", None) in daemon.forwarded:
+        claim_id = getattr(action, "claim_id", None)
+        if claim_id in daemon.forwarded or claim_id in daemon.given_up:
             return
         match action:
             case GrantClaim(claim_id):
--- a/tests/decisions/test_claims.py
+++ b/tests/decisions/test_claims.py
@@ -60,6 +60,12 @@
         if index != other:
             self.model.ask_owner(daemons[index], daemons[other], key)
 
+    @rule(index=INDEX)
+    def withdraw_forwarded(self, index):
+        daemon = self.model.daemons[index]
+        if daemon.forwarded:
+            self.model.withdraw_forwarded(daemon)
+
     @rule(index=INDEX, key=KEYS)
     def serve(self, index, key):
         daemon = self.model.daemons[index]
@@ -287,6 +293,24 @@
     assert result(model, repeat) == GrantClaim(repeat.claim_id)
 
 
+def test_an_owner_that_withdraws_late_closes_no_claim_of_another_daemon(model):
+    daemon, owner = model.daemons
+    model.ask_owner(daemon, owner, "k1")
+    model.carry_out(owner)
+    model.deliver(owner)
+    model.lose_answer(owner, lands_now=True)
+    model.finish_calls(daemon)
+    (granted,) = daemon.granted.values()
+    model.run(daemon, granted)
+    model.report(daemon, granted, is_answered=True)
+    model.finish_calls(daemon)
+    model.withdraw_forwarded(owner)
+    model.settle()
+    repeat = model.request(owner, "k1")
+    model.settle()
+    assert isinstance(result(model, repeat), ReplayAnswer)
+
+
 def test_outage_refuses_every_waiting_claim_at_once(model):
     daemon = model.daemons[0]
     records = [model.request(daemon, f"k{number}") for number in range(3)]
