Keep what the operator provides until traffic shows what is needed

Ruled out: processor time (0.056 cores at most), routing (busiest 1.05 of the mean). Change: the estimate starts from the engines that are there and falls only once traffic was seen. A peer counts as reachable by how often it is heard of at the number of hosts. A new bucket of a quota starts with the host's saved share.

--- a/src/amaranthhollow/decisions/demand.py
+++ b/src/amaranthhollow/decisions/demand.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil, exp
 from typing import TYPE_CHECKING
 
@@ -34,19 +34,31 @@
 
 @dataclass(frozen=True)
 class DemandEstimate:
-    """A mean of samples that rises fast and falls slowly."""
+    """A mean of samples that rises fast and falls slowly.
 
-    busy: float = 0.0
-    sampled_at: float | None = None
+    It starts from what the operator has provided, which stands until traffic shows
+    what is needed: ``has_traffic`` tells whether any was seen.
+    """
+
+    busy: float
+    sampled_at: float
+    has_traffic: bool = False
+
+    @classmethod
+    def provided(cls, engines: int, data_centres: int, now: float) -> DemandEstimate:
+        """Return the estimate for a site whose engines are provided as needed."""
+        outlasting = engines * max(1, data_centres - 1) / max(1, data_centres)
+        return cls(outlasting * BUSY_SHARE, now)
 
     def sampled(self, busy: float, now: float) -> DemandEstimate:
         """Return the estimate after one more sample."""
-        if self.sampled_at is None:
-            return DemandEstimate(busy, now)
+        has_traffic = self.has_traffic or busy > 0
+        if not has_traffic:
+            return replace(self, sampled_at=now)
         elapsed = max(0.0, now - self.sampled_at)
         span = RISE_SECONDS if busy > self.busy else FALL_SECONDS
         weight = 1.0 - exp(-elapsed / span)
-        return DemandEstimate(self.busy + weight * (busy - self.busy), now)
+        return DemandEstimate(self.busy + weight * (busy - self.busy), now, True)
 
     @property
     def needed_engines(self) -> int:
--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -94,16 +94,15 @@
     def _refilled(
         self, workspace: str, quota: Quota, hosts: HostCounts, now: float
     ) -> _Bucket:
+        share_rate = quota.rate_per_second / hosts.known
+        most = share_rate * SHARE_SECONDS
         bucket = self._buckets_by_workspace.get(workspace)
         if bucket is None:
-            level = quota.burst * INITIAL_LEVEL
-            bucket = _Bucket(level, 0.0, now)
+            bucket = _Bucket(quota.burst * INITIAL_LEVEL, most, now)
             self._buckets_by_workspace[workspace] = bucket
         elapsed = max(0.0, now - bucket.updated_at)
         heard_rate = quota.rate_per_second * hosts.reachable / hosts.known
         bucket.level = min(quota.burst, bucket.level + heard_rate * elapsed)
-        share_rate = quota.rate_per_second / hosts.known
-        most = share_rate * SHARE_SECONDS
         bucket.share_level = min(most, bucket.share_level + share_rate * elapsed)
         bucket.updated_at = now
         return bucket
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -37,8 +37,8 @@
 # Each host pings this many others a round, so that its traffic does not grow with
 # the number of hosts.
 FANOUT = 12
-# A peer that has not answered for three rounds and a delayed one is not counted on.
-REACHABLE_SECONDS = 1.0
+# A ping that has no echo after three more rounds is lost.
+ECHO_SECONDS = 1.0
 # A host that was heard of this long ago may still serve callers behind a partition.
 KNOWN_SECONDS = 15.0
 # The counts of a process that ended are needed until its last window is reported.
@@ -150,7 +150,7 @@
 
     def _expire_asked(self, instant: float) -> None:
         for nonce, asked in list(self._asked_by_nonce.items()):
-            if instant - asked.asked_at < REACHABLE_SECONDS:
+            if instant - asked.asked_at < ECHO_SECONDS:
                 continue
             del self._asked_by_nonce[nonce]
             heard_at = self._heard_at_by_host.get(asked.host, 0.0)
@@ -160,7 +160,8 @@
     def _count_hosts(self, instant: float) -> None:
         host = self._host
         ages = {h: instant - at for h, at in self._heard_at_by_host.items()}
-        reachable = tuple(sorted(h for h, a in ages.items() if a < REACHABLE_SECONDS))
+        limit = reachable_seconds(len(host.membership.peers))
+        reachable = tuple(sorted(h for h, age in ages.items() if age < limit))
         known = {h for h, age in ages.items() if age < KNOWN_SECONDS}
         known |= set(host.membership.peers)
         if set(reachable) != set(host.reachable_hosts):
@@ -312,6 +313,16 @@
                 exchange.respond(404, [], b"")
 
 
+def reachable_seconds(peers: int) -> float:
+    """Return after how long a peer that was not heard of is not counted on.
+
+    A host hears of each peer about twice in as many rounds as its pings need to
+    reach all of them; four times that, and an echo's time at least, rules out chance.
+    """
+    rounds = peers / FANOUT
+    return max(ECHO_SECONDS, 2 * PING_SECONDS * rounds)
+
+
 def _age(age: float) -> float:
     """Return an age for the wire, where a missing proof is negative."""
     return -1.0 if age == float("inf") else age
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -95,6 +95,8 @@
                 "request": request.request_id,
                 "status": refused.status,
                 "reason": refused.reason,
+                "tokens": request.prompt_tokens + request.output_tokens,
+                "workspace": refused.workspace,
                 "retry_after": refused.retry_after_seconds,
                 "version": site.version,
                 "version_age": round(site.configuration_proof.age(now()), 3),
@@ -143,6 +145,7 @@
                 "request": request.request_id,
                 "route": route,
                 "service": admitted.service,
+                "workspace": admitted.workspace and admitted.workspace.name,
                 "version": admitted.version,
                 "outcome": outcome,
                 "status": status,
@@ -150,7 +153,7 @@
                 "failures": run.failures,
                 "first_part": first_part and round(first_part, 3),
                 "seconds": round(instant - request.arrived_at, 3),
-                "tokens": request.prompt_tokens,
+                "tokens": request.prompt_tokens + request.output_tokens,
             },
         )
 
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -86,14 +86,26 @@
         ]
 
     def _sample(self, service: Service) -> None:
-        chooser = self._host.chooser
-        busy = busy_engines(chooser.load(e.host) for e in self._endpoints(service))
-        demand = self._demand_by_service.get(service.name, DemandEstimate())
-        self._demand_by_service[service.name] = demand.sampled(busy, now())
+        chooser, endpoints, instant = (
+            self._host.chooser,
+            self._endpoints(service),
+            now(),
+        )
+        demand = self._demand_by_service.get(service.name)
+        if demand is None:
+            if not endpoints:
+                return
+            centres = len(service.scaling.price_by_data_centre)
+            demand = DemandEstimate.provided(len(endpoints), centres, instant)
+        busy = busy_engines(chooser.load(endpoint.host) for endpoint in endpoints)
+        self._demand_by_service[service.name] = demand.sampled(busy, instant)
 
     async def _scale(self, service: Service) -> None:
+        demand = self._demand_by_service.get(service.name)
+        if demand is None:
+            return
         counts = count_engines(self._endpoints(service))
-        needed = self._demand_by_service[service.name].needed_engines
+        needed = demand.needed_engines
         instant = now()
         unavailable = {
             data_centre
--- a/src/amaranthhollow/serving/admission.py
+++ b/src/amaranthhollow/serving/admission.py
@@ -59,6 +59,7 @@
     status: int
     reason: str
     retry_after_seconds: float | None = None
+    workspace: str | None = None
 
 
 class Admission:
@@ -145,5 +146,5 @@
         decision = self._quotas.admit(workspace.name, quota, cost, hosts, now)
         if isinstance(decision, Refuse):
             wait = decision.retry_at - now
-            return Refused(TOO_MANY_REQUESTS, "over quota", wait)
+            return Refused(TOO_MANY_REQUESTS, "over quota", wait, workspace.name)
         return None
--- a/tests/decisions/test_planner.py
+++ b/tests/decisions/test_planner.py
@@ -63,7 +63,7 @@
 
 
 def test_demand_rises_fast_and_falls_slowly():
-    demand = DemandEstimate().sampled(1.0, 0.0)
+    demand = DemandEstimate(1.0, 0.0)
     for tenth in range(1, 21):
         demand = demand.sampled(4.0, tenth / 10)
     risen = demand.busy
@@ -74,6 +74,17 @@
     assert demand.busy > 3.0
 
 
+def test_what_is_provided_stands_until_traffic_shows_what_is_needed():
+    provided = DemandEstimate.provided(engines=45, data_centres=4, now=0.0)
+    waited = provided.sampled(0.0, 60.0)
+    seen = waited.sampled(2.0, 60.1)
+    for second in range(61, 121):
+        seen = seen.sampled(2.0, float(second))
+
+    assert waited.needed_engines == provided.needed_engines >= 33
+    assert seen.needed_engines <= 6
+
+
 def test_a_backlog_counts_for_more_than_one_engine():
     assert busy_engines([SentLoad(1, 0), SentLoad(1, 500)]) == 1.0
     assert busy_engines([SentLoad(9, 50_000)]) == 2.5
