Use the platform's store client for claims, configuration and leases

One stand-in speaks the store of the users' pages, with its faults and watches, for processes and in the tests' own loop.

--- a/src/amaranthhollow/cli/context.py
+++ b/src/amaranthhollow/cli/context.py
@@ -14,10 +14,11 @@
 import msgspec
 from result import Err
 
+from amaranthhollow.platform.store import StoreClient
+from amaranthhollow.serving.calls import HttpCaller
 from amaranthhollow.settings.model import read_operator_settings
 from amaranthhollow.state.configuration_store import ConfigurationStore
 from amaranthhollow.state.host_list import HostListClient
-from amaranthhollow.state.key_value import KeyValueClient
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -82,8 +83,8 @@
     settings: OperatorSettings, job: Callable[[Clients], Awaitable[None]]
 ) -> None:
     async with aiohttp.ClientSession() as session:
-        key_value = KeyValueClient(session, str(settings.key_value_service))
-        store = ConfigurationStore(key_value)
+        caller = HttpCaller.of_url(settings.key_value_service)
+        store = ConfigurationStore(StoreClient(caller))
         host_list = HostListClient(session, str(settings.host_list))
         await job(Clients(session, settings, store, host_list))
 
--- a/src/amaranthhollow/daemon/control.py
+++ b/src/amaranthhollow/daemon/control.py
@@ -51,7 +51,7 @@
     async def _reconcile(self, name: str, deployment: ModelDeployment) -> None:
         node = self._node
         lease = self._leases_by_deployment.setdefault(
-            name, NamedLease(node.key_value, name, node.settings.host, node.now)
+            name, NamedLease(node.store, name, node.settings.host, node.now)
         )
         if lease.holding is None and not self._is_contender(name):
             return
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -26,10 +26,10 @@
     from amaranthhollow.endpoints.service import ServiceClient
     from amaranthhollow.peers.links import PeerLinks
     from amaranthhollow.peers.shard_owners import ShardOwners
+    from amaranthhollow.platform.store import StoreClient
     from amaranthhollow.settings.model import DaemonSettings
     from amaranthhollow.state.claim_store import ClaimStore
     from amaranthhollow.state.host_list import HostListClient
-    from amaranthhollow.state.key_value import KeyValueClient
 
 __all__ = ["Node"]
 
@@ -46,7 +46,7 @@
     claim_store: ClaimStore
     engines: EngineClient
     services: ServiceClient
-    key_value: KeyValueClient
+    store: StoreClient
     host_list: HostListClient
     links: PeerLinks
     random: Random
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -34,10 +34,11 @@
 from amaranthhollow.peers.links import PeerLinks
 from amaranthhollow.peers.server import serve_peers
 from amaranthhollow.peers.shard_owners import ShardOwners
+from amaranthhollow.platform.store import StoreClient
+from amaranthhollow.serving.calls import HttpCaller
 from amaranthhollow.state.claim_store import ClaimStore
 from amaranthhollow.state.configuration_store import ConfigurationStore
 from amaranthhollow.state.host_list import HostListClient
-from amaranthhollow.state.key_value import KeyValueClient
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -69,7 +70,7 @@
     def __init__(self, settings: DaemonSettings, session: aiohttp.ClientSession):
         self._node = node = _build_node(settings, session)
         self._streams = StreamRegistry()
-        store = ConfigurationStore(node.key_value)
+        store = ConfigurationStore(node.store)
         self._configuration = ConfigurationSync(node, store)
         self._gossiping = Gossiping(node, self._configuration.on_revision)
         self._configuration.attach(self._gossiping)
@@ -189,9 +190,9 @@
         data_centre=settings.data_centre,
         status=DaemonStatus.ALIVE,
     )
-    key_value = KeyValueClient(session, str(settings.key_value_service))
+    store = StoreClient(HttpCaller.of_url(settings.key_value_service))
     membership = Membership(settings.host, incarnation, info)
-    claim_store = ClaimStore(key_value, time.time)
+    claim_store = ClaimStore(store, time.time)
     links = PeerLinks(settings.peer_port)
     return Node(
         settings=settings,
@@ -202,7 +203,7 @@
         claim_store=claim_store,
         engines=EngineClient(session),
         services=ServiceClient(session),
-        key_value=key_value,
+        store=store,
         host_list=HostListClient(session, str(settings.host_list)),
         links=links,
         random=Random(f"{settings.host}-{incarnation}"),
--- a/src/amaranthhollow/daemon/state_dump.py
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -49,7 +49,7 @@
         "streams": len(streams),
         "facts": len(node.membership.table),
         "retry_budget": node.retry_budget.tokens,
-        "key_value_calls_by_kind": node.key_value.calls_by_kind,
+        "store_calls_by_kind": dict(node.store.calls_by_kind),
         "counters_by_name": node.counters.totals(),
     }
     return msgspec.json.encode(document)
--- a/src/amaranthhollow/platform/store.py
+++ b/src/amaranthhollow/platform/store.py
@@ -4,6 +4,7 @@
 
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
@@ -16,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Lease", "Snapshot", "StoreClient", "StoredItem", "Write"]
+__all__ = ["Changes", "Lease", "Snapshot", "StoreClient", "StoredItem", "Write"]
 
 OK = 200
 NOT_FOUND = 404
@@ -25,6 +26,9 @@
 UNAVAILABLE = 503
 # A page holds about 500 items; a site of the target's size has less than 4 pages.
 MAX_PAGES = 16
+GONE = 410
+# The store answers in milliseconds, and in a quarter of a second when it is slow.
+CALL_TIMEOUT_SECONDS = 0.8
 
 Wire = TypeVar("Wire", bound=msgspec.Struct)
 
@@ -47,6 +51,18 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class Changes:
+    """Items as they were written after a revision, and the revision to go on from.
+
+    What was deleted is named in ``deleted_keys``.
+    """
+
+    items: tuple[StoredItem, ...]
+    deleted_keys: tuple[str, ...]
+    revision: int
+
+
 @dataclass(frozen=True)
 class Write:
     """A value to be written, under a lease unless ``lease_id`` is 0."""
@@ -72,6 +88,8 @@
     value: str = ""
     # The revision of the item's creation.
     create_rev: int = 0
+    # Only in the answer to a watch.
+    deleted: bool = False
 
 
 class WireKey(WireItem, frozen=True):
@@ -88,6 +106,13 @@
     has_more: bool = False
 
 
+class WireChanges(msgspec.Struct, frozen=True):
+    """The answer to a watch."""
+
+    events: list[WireItem]
+    as_of: int
+
+
 class WireRevision(msgspec.Struct, frozen=True):
     """The answer to a change."""
 
@@ -112,9 +137,10 @@
         """Call through ``caller``; ``on_call`` hears of each call and its success."""
         self._caller = caller
         self._on_call = on_call
+        self.calls_by_kind: Counter[str] = Counter()
 
     async def get(
-        self, key: str, timeout_seconds: float
+        self, key: str, timeout_seconds: float = CALL_TIMEOUT_SECONDS
     ) -> Result[StoredItem | None, CallError]:
         """Return the newest state of an item, or None if there is none."""
         call = Call(b"GET", f"/kv-key?key={quote(key, safe='')}".encode())
@@ -127,7 +153,7 @@
         return _decode(body, WireKey).and_then(_item)
 
     async def list(
-        self, prefix: str, timeout_seconds: float
+        self, prefix: str, timeout_seconds: float = CALL_TIMEOUT_SECONDS
     ) -> Result[Snapshot, CallError]:
         """Return the newest state of all items under a prefix.
 
@@ -155,11 +181,29 @@
             after = page.items[-1].key
         return Ok(Snapshot(tuple(items), revision))
 
+    async def watch(
+        self, prefix: str, after_revision: int, wait_seconds: float
+    ) -> Result[Changes | None, CallError]:
+        """Wait for changes under a prefix; None if that history is forgotten."""
+        target = (
+            f"/kv-watch?prefix={quote(prefix, safe='')}"
+            f"&start_after={after_revision}&wait_ms={int(wait_seconds * 1000)}"
+        )
+        call = Call(b"GET", target.encode())
+        timeout = wait_seconds + CALL_TIMEOUT_SECONDS
+        answer = await self._call("watch", call, timeout, (OK, GONE))
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == GONE:
+            return Ok(None)
+        return _decode(body, WireChanges).map(_changes)
+
     async def change(
         self,
         expected_revisions: dict[str, int],
         writes: tuple[Write, ...],
-        timeout_seconds: float,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
         removed: tuple[str, ...] = (),
     ) -> Result[int | None, CallError]:
         """Change all items or none; None if one was at another revision.
@@ -192,7 +236,7 @@
         return _decode(content, WireRevision).map(lambda wire: wire.revision)
 
     async def grant(
-        self, ttl_seconds: float, timeout_seconds: float
+        self, ttl_seconds: float, timeout_seconds: float = CALL_TIMEOUT_SECONDS
     ) -> Result[Lease, CallError]:
         """Grant a lease."""
         body = msgspec.json.encode({"ttl_ms": int(ttl_seconds * 1000)})
@@ -205,7 +249,7 @@
         )
 
     async def renew(
-        self, lease_id: int, timeout_seconds: float
+        self, lease_id: int, timeout_seconds: float = CALL_TIMEOUT_SECONDS
     ) -> Result[bool, CallError]:
         """Renew a lease; False if it has ended."""
         call = Call(b"POST", f"/kv-keep/{lease_id}".encode())
@@ -213,7 +257,7 @@
         return answer.map(lambda pair: pair[0] == OK)
 
     async def end(
-        self, lease_id: int, timeout_seconds: float
+        self, lease_id: int, timeout_seconds: float = CALL_TIMEOUT_SECONDS
     ) -> Result[None, CallError]:
         """End a lease, which removes its items."""
         call = Call(b"DELETE", f"/kv-lease-end/{lease_id}".encode())
@@ -223,6 +267,7 @@
     async def _call(
         self, kind: str, call: Call, timeout_seconds: float, accepted: tuple[int, ...]
     ) -> Result[tuple[int, bytes], CallError]:
+        self.calls_by_kind[kind] += 1
         answer = await self._caller.call(call, timeout_seconds)
         if isinstance(answer, Err):
             self._on_call(kind, False)
@@ -251,6 +296,15 @@
     return Ok(StoredItem(wire.key, value, wire.revision, wire.create_rev))
 
 
+def _changes(wire: WireChanges) -> Changes:
+    written = [event for event in wire.events if not event.deleted]
+    return Changes(
+        tuple(_item(event).unwrap_or(_unreadable(event)) for event in written),
+        tuple(event.key for event in wire.events if event.deleted),
+        wire.as_of,
+    )
+
+
 def _unreadable(wire: WireItem) -> StoredItem:
     """Stand for an item whose value cannot be read: its reader finds it malformed."""
     return StoredItem(wire.key, b"", wire.revision, wire.create_rev)
--- a/src/amaranthhollow/serving/calls.py
+++ b/src/amaranthhollow/serving/calls.py
@@ -22,6 +22,8 @@
 )
 
 if TYPE_CHECKING:
+    from pydantic import AnyHttpUrl
+
     from amaranthhollow.serving.endpoint_connection import EndpointConnection
     from amaranthhollow.serving.messages import Header
 
@@ -73,6 +75,11 @@
         self._port = port
         self._idle: list[EndpointConnection] = []
 
+    @classmethod
+    def of_url(cls, url: AnyHttpUrl) -> HttpCaller:
+        """Return a caller of the server at ``url``, which names an IP address."""
+        return cls(url.host, url.port)
+
     async def call(
         self, call: Call, timeout_seconds: float
     ) -> Result[CallAnswer, CallError]:
--- a/src/amaranthhollow/state/claim_store.py
+++ b/src/amaranthhollow/state/claim_store.py
@@ -47,13 +47,15 @@
 )
 from amaranthhollow.decisions.claim_state import ShardState, unfinished_claims
 from amaranthhollow.decisions.claims import step
-from amaranthhollow.state.key_value import CallFailure
+from amaranthhollow.platform.store import Write
+from amaranthhollow.serving.calls import CallFailure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from amaranthhollow.peers.claim_replies import ClaimOutcome, ClaimResult
-    from amaranthhollow.state.key_value import KeyValueClient, KeyValueError
+    from amaranthhollow.platform.store import StoreClient
+    from amaranthhollow.serving.calls import CallError
 
 __all__ = ["ClaimStore"]
 
@@ -66,9 +68,9 @@
 class ClaimStore:
     """Claims on idempotency keys, durable in the key-value service."""
 
-    def __init__(self, key_value: KeyValueClient, clock: Callable[[], float]) -> None:
-        """Use the service through ``key_value``; ``clock`` gives epoch seconds."""
-        self._key_value = key_value
+    def __init__(self, store: StoreClient, clock: Callable[[], float]) -> None:
+        """Use the service through ``store``; ``clock`` gives epoch seconds."""
+        self._store = store
         self._clock = clock
         self._states_by_shard: dict[int, ShardState] = {}
         self._results_by_claim_id: dict[str, asyncio.Future[ClaimResult]] = {}
@@ -123,19 +125,19 @@
             return Err("no answer was recorded")
         if not answer.stored_separately:
             return Ok(answer)
-        entry = await self._key_value.get(_answer_key(original.claim_id))
-        if isinstance(entry, Err):
-            return Err(entry.err_value.message)
-        if entry.ok_value.revision == 0:
+        found = await self._store.get(_answer_key(original.claim_id))
+        if isinstance(found, Err):
+            return Err(found.err_value.detail)
+        if found.ok_value is None:
             return Err("the recorded answer has expired")
-        return Ok(msgspec.structs.replace(answer, body=entry.ok_value.value))
+        return Ok(msgspec.structs.replace(answer, body=found.ok_value.value))
 
     async def _store_answer(self, record: ClaimRecord, answer: Answer) -> Answer | None:
         """Store a large answer apart; None if that cannot be done."""
         if len(answer.body) > MAX_STORED_ANSWER_BYTES:
             return None
         key = _answer_key(record.claim_id)
-        stored = await self._key_value.put_if(key, answer.body, 0)
+        stored = await self._store.change({key: 0}, (Write(key, answer.body),))
         if isinstance(stored, Err):
             return None
         return msgspec.structs.replace(answer, body=b"", stored_separately=True)
@@ -166,7 +168,7 @@
                 self._start(self._call_service(shard, action))
 
     async def _delete(self, key: str) -> None:
-        await self._key_value.delete(key)
+        await self._store.change({}, (), removed=(key,))
 
     async def _call_service(self, shard: int, action: Action) -> None:
         match action:
@@ -183,39 +185,40 @@
         self._apply(shard, event)
 
     async def _load_head(self, shard: int) -> Event:
-        entry = await self._key_value.get(_head_key(shard))
-        if isinstance(entry, Err):
+        found = await self._store.get(_head_key(shard))
+        if isinstance(found, Err):
             return ServiceFailed()
-        value = entry.ok_value.value
+        item = found.ok_value
+        if item is None:
+            return HeadLoaded(ClaimHead(), 0)
         try:
-            head = decode_head(value) if value else ClaimHead()
+            return HeadLoaded(decode_head(item.value), item.revision)
         except msgspec.MsgspecError:
             return ServiceFailed()
-        return HeadLoaded(head, entry.ok_value.revision)
 
     async def _load_segments(self, shard: int, segment_ids: tuple[str, ...]) -> Event:
         segments = {}
         for segment_id in segment_ids:
-            entry = await self._key_value.get(_segment_key(shard, segment_id))
-            if isinstance(entry, Err):
+            found = await self._store.get(_segment_key(shard, segment_id))
+            if isinstance(found, Err):
                 return ServiceFailed()
-            if entry.ok_value.revision:
-                segments[segment_id] = decode_segment(entry.ok_value.value)
+            if found.ok_value is not None:
+                segments[segment_id] = decode_segment(found.ok_value.value)
         return SegmentsLoaded(segments)
 
     async def _write_segment(self, shard: int, action: WriteSegment) -> Event:
         """Create a segment; one that exists has the same content."""
         key = _segment_key(shard, action.segment_id)
         value = encode_segment(action.segment)
-        written = await self._key_value.put_if(key, value, 0)
+        written = await self._store.change({key: 0}, (Write(key, value),))
         if isinstance(written, Err):
             return ServiceFailed()
         return SegmentWritten(action.segment_id)
 
     async def _write_head(self, shard: int, action: WriteHead) -> Event:
-        value = encode_head(action.head)
-        written = await self._key_value.put_if(
-            _head_key(shard), value, action.expected_revision
+        key = _head_key(shard)
+        written = await self._store.change(
+            {key: action.expected_revision}, (Write(key, encode_head(action.head)),)
         )
         match written:
             case Ok(None):
@@ -231,7 +234,7 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _failed_write(error: KeyValueError) -> Event:
+def _failed_write(error: CallError) -> Event:
     if error.failure is CallFailure.UNCERTAIN:
         return WriteUncertain()
     return ServiceFailed()
--- a/src/amaranthhollow/state/configuration_store.py
+++ b/src/amaranthhollow/state/configuration_store.py
@@ -18,12 +18,14 @@
     encode,
 )
 from amaranthhollow.decisions.statechart import load_chart
-from amaranthhollow.state.key_value import CallFailure
+from amaranthhollow.platform.store import Write
+from amaranthhollow.serving.calls import CallFailure
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from amaranthhollow.state.key_value import KeyValueClient, KeyValueError
+    from amaranthhollow.platform.store import StoreClient, StoredItem
+    from amaranthhollow.serving.calls import CallError
 
 __all__ = [
     "Accepted",
@@ -39,6 +41,8 @@
 MAX_HEAD_ENTRIES = 200
 MAX_VERIFICATIONS = 8
 VERIFY_SECONDS = 0.25
+# A waiting watch counts as one call; the store lets it wait for 30 s at most.
+WATCH_SECONDS = 20.0
 
 
 @dataclass(frozen=True)
@@ -83,35 +87,44 @@
 class ConfigurationStore:
     """The head of the revisions and their bodies."""
 
-    def __init__(self, key_value: KeyValueClient) -> None:
-        """Use the service through ``key_value``."""
-        self._key_value = key_value
+    def __init__(self, store: StoreClient) -> None:
+        """Use the service through ``store``."""
+        self._store = store
         self._chart = load_chart("submission")
 
     async def read_head(self) -> Result[RevisionHead, str]:
         """Return the head, empty before the first submission."""
-        entry = await self._key_value.get(HEAD_KEY)
-        if isinstance(entry, Err):
-            return Err(entry.err_value.message)
-        return Ok(decode_revision_head(entry.ok_value.value))
+        found = await self._store.get(HEAD_KEY)
+        if isinstance(found, Err):
+            return Err(found.err_value.detail)
+        return Ok(_head_of(found.ok_value))
 
     async def read_body(self, change_id: str) -> Result[bytes, str]:
         """Return the encoded body of a change."""
-        entry = await self._key_value.get(f"{BODY_PREFIX}/{change_id}")
-        if isinstance(entry, Err):
-            return Err(entry.err_value.message)
-        if not entry.ok_value.revision:
+        found = await self._store.get(f"{BODY_PREFIX}/{change_id}")
+        if isinstance(found, Err):
+            return Err(found.err_value.detail)
+        if found.ok_value is None:
             return Err(f"configuration body {change_id!r} does not exist")
-        return Ok(entry.ok_value.value)
+        return Ok(found.ok_value.value)
 
     async def read_revision(self, change_id: str) -> Result[Body, str]:
         """Return the body of a change."""
         return (await self.read_body(change_id)).map(decode_body)
 
     async def watch_head(self) -> AsyncIterator[RevisionHead]:
-        """Yield the head at each change until the connection ends."""
-        async for entry in self._key_value.watch(HEAD_KEY):
-            yield decode_revision_head(entry.value)
+        """Yield the head at each change until the service is lost or forgets some."""
+        listed = await self._store.list(HEAD_KEY)
+        if isinstance(listed, Err):
+            return
+        items, revision = listed.ok_value.items, listed.ok_value.revision
+        while True:
+            for item in items:
+                yield _head_of(item)
+            watched = await self._store.watch(HEAD_KEY, revision, WATCH_SECONDS)
+            if isinstance(watched, Err) or watched.ok_value is None:
+                return
+            items, revision = watched.ok_value.items, watched.ok_value.revision
 
     async def submit(self, body: Body, based_on: int, now: float) -> Submission:
         """Make ``body`` the revision after ``based_on``, if that is the newest.
@@ -123,7 +136,7 @@
         change_id = change_id_of(content)
         stored = await self._store_body(change_id, content)
         if isinstance(stored, Err):
-            return Refused(stored.err_value.message)
+            return Refused(stored.err_value.detail)
         state = self._chart.advance(self._chart.initial, "write")
         result: Submission = Uncertain(change_id)
         for _ in range(MAX_VERIFICATIONS):
@@ -138,12 +151,11 @@
 
     async def _store_body(
         self, change_id: str, content: bytes
-    ) -> Result[int | None, KeyValueError]:
+    ) -> Result[int | None, CallError]:
         """Create the body; as its key is its digest, repeating that is harmless."""
+        key = f"{BODY_PREFIX}/{change_id}"
         for _ in range(MAX_VERIFICATIONS):
-            stored = await self._key_value.put_if(
-                f"{BODY_PREFIX}/{change_id}", content, 0
-            )
+            stored = await self._store.change({key: 0}, (Write(key, content),))
             is_settled = isinstance(stored, Ok) or (
                 stored.err_value.failure is CallFailure.NOTHING_CHANGED
             )
@@ -156,10 +168,11 @@
         self, body: Body, change_id: str, based_on: int, now: float
     ) -> _WriteStep:
         """Read the head, and write it if the change is neither in it nor too late."""
-        read = await self._key_value.get(HEAD_KEY)
+        read = await self._store.get(HEAD_KEY)
         if isinstance(read, Err):
-            return _WriteStep("unread", Refused(read.err_value.message))
-        head = decode_revision_head(read.ok_value.value)
+            return _WriteStep("unread", Refused(read.err_value.detail))
+        head = _head_of(read.ok_value)
+        head_revision = 0 if read.ok_value is None else read.ok_value.revision
         accepted = head.find_change(change_id)
         if accepted is not None:
             return _WriteStep("accept", Accepted(accepted))
@@ -167,13 +180,16 @@
             return _WriteStep("conflict", Superseded(head.after(based_on)))
         entry = HeadEntry(based_on + 1, change_id, body.author, body.note, now)
         entries = (*head.entries, entry)[-MAX_HEAD_ENTRIES:]
-        written = await self._key_value.put_if(
-            HEAD_KEY, encode(RevisionHead(entries)), read.ok_value.revision
-        )
+        write = Write(HEAD_KEY, encode(RevisionHead(entries)))
+        written = await self._store.change({HEAD_KEY: head_revision}, (write,))
         if isinstance(written, Err):
             if written.err_value.failure is CallFailure.NOTHING_CHANGED:
-                return _WriteStep("unread", Refused(written.err_value.message))
+                return _WriteStep("unread", Refused(written.err_value.detail))
             return _WriteStep("doubt", Uncertain(change_id))
         if written.ok_value is None:
             return _WriteStep("lost_race", Uncertain(change_id))
         return _WriteStep("accept", Accepted(entry))
+
+
+def _head_of(item: StoredItem | None) -> RevisionHead:
+    return RevisionHead() if item is None else decode_revision_head(item.value)
--- a/src/amaranthhollow/state/lease_store.py
+++ b/src/amaranthhollow/state/lease_store.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from result import Err
 
 from amaranthhollow.decisions.control import LEASE_SECONDS, Holding
+from amaranthhollow.platform.store import Write
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from amaranthhollow.state.key_value import KeyValueClient, Lease
+    from amaranthhollow.platform.store import StoreClient
 
 __all__ = ["NamedLease"]
 
@@ -23,17 +25,17 @@
 
     def __init__(
         self,
-        key_value: KeyValueClient,
+        store: StoreClient,
         name: str,
         holder: str,
         clock: Callable[[], float],
     ) -> None:
         """Contend for the lease ``name`` as ``holder``; nothing is asked yet."""
-        self._key_value = key_value
+        self._store = store
         self._key = f"{PREFIX}/{name}"
         self._holder = holder
         self._clock = clock
-        self._lease: Lease | None = None
+        self._lease_id = 0
         self.holding: Holding | None = None
 
     async def keep(self) -> None:
@@ -47,29 +49,28 @@
 
     async def _acquire(self) -> None:
         asked_at = self._clock()
-        granted = await self._key_value.grant_lease(LEASE_SECONDS, asked_at)
+        granted = await self._store.grant(LEASE_SECONDS)
         if isinstance(granted, Err):
             return
         lease = granted.ok_value
-        value = self._holder.encode()
-        created = await self._key_value.put_if(self._key, value, 0, lease)
+        write = Write(self._key, self._holder.encode(), lease.lease_id)
+        created = await self._store.change({self._key: 0}, (write,))
         if isinstance(created, Err) or created.ok_value is None:
             # If the answer was lost, the key lapses with its lease.
             return
-        self._lease = lease
-        self.holding = Holding(created.ok_value, self._clock(), lease.expires_at)
+        self._lease_id = lease.lease_id
+        expires_at = asked_at + lease.ttl_seconds
+        self.holding = Holding(created.ok_value, self._clock(), expires_at)
 
     async def _renew(self, holding: Holding) -> None:
-        renewed = await self._key_value.renew_lease(self._lease, self._clock())
+        asked_at = self._clock()
+        renewed = await self._store.renew(self._lease_id)
         if isinstance(renewed, Err):
             return
-        if renewed.ok_value is None:
+        if not renewed.ok_value:
             self._lose()
             return
-        self._lease = renewed.ok_value
-        self.holding = Holding(
-            holding.fencing_token, holding.acquired_at, renewed.ok_value.expires_at
-        )
+        self.holding = replace(holding, expires_at=asked_at + LEASE_SECONDS)
 
     def _lose(self) -> None:
-        self._lease = self.holding = None
+        self.holding = None
--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import yaml
+from aiohttp import web
 
 from tests.standins.store import StoreStandIn
 from tests.standins.wire_endpoint import WireEndpoint
@@ -44,7 +45,10 @@
     _closers: list = field(default_factory=list)
 
     async def start(self) -> None:
-        runner = await self.store.start(f"{self.network}.2", STORE_PORT)
+        app = self.store.build()
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, f"{self.network}.2", STORE_PORT).start()
         self._closers.append(runner.cleanup)
 
     async def close(self) -> None:
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -162,7 +162,7 @@
 
 
 async def test_keys_are_refused_once_they_may_be_outdated(site, pair):
-    site.store.is_silent = True
+    site.store.faults["is_silent"] = True
     await site.wait_ready(pair, is_ready=False)
     answer = await site.ask(pair, "/plain/", "r1")
     unknown = await site.ask(pair, "/plain/", "r2", key="wrong")
@@ -170,7 +170,7 @@
     assert answer.status == 503
     assert "retry-after" in answer.headers
     assert unknown.status == 503
-    site.store.is_silent = False
+    site.store.faults["is_silent"] = False
     await site.wait_ready(pair)
     assert (await site.ask(pair, "/plain/", "r3")).status == 200
 
@@ -188,7 +188,7 @@
 async def test_a_host_that_the_store_turns_away_hears_from_its_peers(site, pair):
     address = site.start_daemon("host-2", 22)
     await site.wait_ready(address)
-    site.store.refused_addresses.add(address)
+    site.store.faults["refused_addresses"] = [address]
     await asyncio.sleep(4.0)
     site.configure(2, tenants=[{"name": "w1", "api_keys": ["key-2"]}])
     await asyncio.sleep(2.0)
@@ -225,11 +225,11 @@
     site, pair
 ):
     entries = {k: i.value for k, i in site.store.items.items() if "servers" in k}
-    site.store.status = 503
+    site.store.faults["down"] = True
     await asyncio.sleep(2.5)
     for key in entries:
         site.store.delete(key)
-    site.store.status = 0
+    site.store.faults["down"] = False
     await asyncio.sleep(1.0)
     during = await site.ask(pair, "/plain/", "r1")
     site.store.put("servers/e2", entries["servers/e2"])
--- a/tests/site.py
+++ b/tests/site.py
@@ -56,7 +56,7 @@
 
     async def __aenter__(self) -> Site:
         self.session = aiohttp.ClientSession()
-        self.key_value = self._start_standin("key_value", "key-value", KEY_VALUE_PORT)
+        self.key_value = self._start_standin("store", "key-value", KEY_VALUE_PORT)
         self.cloud = self._start_standin("cloud", "cloud", CLOUD_PORT)
         await self.wait_for(f"{self.key_value_url}/faults")
         await self.wait_for(f"{self.cloud_url}/faults")
--- a/tests/standins/base.py
+++ b/tests/standins/base.py
@@ -24,6 +24,9 @@
     def __getitem__(self, name: str) -> Any:
         return self._values[name]
 
+    def __setitem__(self, name: str, value: Any) -> None:
+        self._values[name] = value
+
     def take(self, name: str) -> bool:
         """Count down a fault that is to happen a number of times."""
         if self._values[name] <= 0:
