Keep the counts of usage through the loss of all hosts at once

Change: the holder stores all hosts' counts every second, under the same condition as the reports; a new holder takes them in and reports the windows they name. Test: counts outlast the loss of all hosts (seen failing first). Also: the tool's command 'request' shows a request's decisions out of log files.

--- a/src/amaranthhollow/cli/main.py
+++ b/src/amaranthhollow/cli/main.py
@@ -6,6 +6,7 @@
 
 from amaranthhollow.cli.config_commands import config
 from amaranthhollow.cli.host_commands import drain, state, status
+from amaranthhollow.cli.log_commands import request
 
 __all__ = ["main"]
 
@@ -24,3 +25,4 @@
 main.add_command(status)
 main.add_command(state)
 main.add_command(drain)
+main.add_command(request)
--- a/src/amaranthhollow/decisions/usage.py
+++ b/src/amaranthhollow/decisions/usage.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-__all__ = ["UsageCounts", "total_counts"]
+__all__ = ["WINDOWS_KEPT", "CountsByWindow", "UsageCounts", "total_counts"]
 
 # A report is due before this many further windows have ended.
 WINDOWS_KEPT = 5
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -49,6 +49,11 @@
         """The name of the host."""
         return self.settings.host
 
+    @property
+    def process(self) -> str:
+        """The name of this process: of the host and of its start."""
+        return f"{self.name}@{self.incarnation}"
+
     @property
     def rank(self) -> int:
         """The position of this host among those that hear of each other."""
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err
 
-from amaranthhollow.decisions.usage import total_counts
+from amaranthhollow.decisions.usage import WINDOWS_KEPT, CountsByWindow, total_counts
 from amaranthhollow.entry.duty_lease import HOLDER_KEY
 from amaranthhollow.platform.cloud import DutyHolder, encode_usage
 from amaranthhollow.platform.names import OWN_PREFIX
@@ -29,24 +29,42 @@
 SETTLE_SECONDS = 1.5
 CALL_TIMEOUT_SECONDS = 0.8
 REPORTS_KEPT = 8
+# What all hosts count meanwhile is lost if all of them are lost at once.
+SAVE_SECONDS = 1.0
 
 log = logbook.Logger("usage")
 
 
+class UsageLedger(msgspec.Struct, frozen=True, array_like=True):
+    """What the holder keeps in the store, for the next one.
+
+    ``reports`` are the exact bytes sent by window, ``counts`` what each process saw
+    begin, by process, window and workspace.
+    """
+
+    reports: dict[int, bytes]
+    counts: dict[str, CountsByWindow]
+
+
+EMPTY_LEDGER = UsageLedger({}, {})
+
+
 class UsageDuty:
     """Stores the exact bytes of a report before it is sent.
 
-    A new holder finds them and repeats them, so two reports never differ.
+    A new holder finds them and repeats them, so two reports never differ. The counts
+    of all hosts are stored with them every moment, for when all hosts are lost at once.
     """
 
     def __init__(self, host: Host, cloud: CloudClient) -> None:
         """Report on behalf of ``host``."""
         self._host = host
         self._cloud = cloud
-        self._reports_by_window: dict[int, bytes] = {}
+        self._ledger = EMPTY_LEDGER
         self._revision = 0
         self._token = 0
         self._sent: set[int] = set()
+        self._save_at = 0.0
         self._first_window = host.usage.window_at(time.time())
 
     async def run(self) -> None:
@@ -61,6 +79,8 @@
                 continue
             for window in self._due_windows():
                 await self._report(window, holding.fencing_token)
+            if now() >= self._save_at and self._token and self._may_act():
+                await self._save(self._ledger.reports)
 
     def _may_act(self) -> bool:
         return self._host.duty.may_act(now(), CALL_TIMEOUT_SECONDS)
@@ -79,24 +99,31 @@
         found = await self._host.store.get(USAGE_KEY, CALL_TIMEOUT_SECONDS)
         if isinstance(found, Err):
             return
-        item = found.ok_value
-        self._reports_by_window, self._revision = {}, 0
-        if item is not None:
-            self._revision = item.revision
-            try:
-                self._reports_by_window = msgspec.msgpack.decode(
-                    item.value, type=dict[int, bytes]
-                )
-            except msgspec.DecodeError as error:
-                log.error("stored reports unreadable", extra={"error": str(error)})
+        self._ledger, self._revision = EMPTY_LEDGER, 0
+        if found.ok_value is not None:
+            self._revision = found.ok_value.revision
+            self._ledger = _decode_ledger(found.ok_value.value)
+        self._learn_counts(self._ledger.counts)
         self._sent.clear()
         self._token = token
 
+    def _learn_counts(self, counts: dict[str, CountsByWindow]) -> None:
+        """Take in the counts of processes that were not heard of here."""
+        host = self._host
+        for process, report in counts.items():
+            if process != host.process and process not in host.usage_by_process:
+                host.usage_by_process[process] = report
+        windows = [window for report in counts.values() for window in report]
+        self._first_window = min([self._first_window, *windows])
+
     async def _report(self, window: int, token: int) -> None:
-        report = self._reports_by_window.get(window)
+        report = self._ledger.reports.get(window)
         if report is None:
-            report = await self._store_report(window, token)
-        if report is None or not self._may_act():
+            total = total_counts(window, self._counts().values())
+            report = encode_usage(window, total)
+            if not await self._save({**self._ledger.reports, window: report}):
+                return
+        if not self._may_act():
             return
         holder = DutyHolder(self._host.name, token)
         sent = await self._cloud.report_usage(report, holder, CALL_TIMEOUT_SECONDS)
@@ -109,21 +136,42 @@
             extra={"window": window, "fencing_token": token, "bytes": len(report)},
         )
 
-    async def _store_report(self, window: int, token: int) -> bytes | None:
+    def _counts(self) -> dict[str, CountsByWindow]:
         host = self._host
-        reports = [host.usage.report(), *host.usage_by_process.values()]
-        report = encode_usage(window, total_counts(window, reports))
-        kept = {**self._reports_by_window, window: report}
-        kept = {w: kept[w] for w in sorted(kept)[-REPORTS_KEPT:]}
-        write = Write(USAGE_KEY, msgspec.msgpack.encode(kept))
-        stored = await host.store.change(
-            {HOLDER_KEY: token, USAGE_KEY: self._revision},
+        return {**host.usage_by_process, host.process: host.usage.report()}
+
+    async def _save(self, reports: dict[int, bytes]) -> bool:
+        """Store reports and counts, under the condition that the duty is still held."""
+        self._save_at = now() + SAVE_SECONDS
+        reports = {w: reports[w] for w in sorted(reports)[-REPORTS_KEPT:]}
+        oldest = self._host.usage.window_at(time.time()) - WINDOWS_KEPT
+        counts = {
+            process: kept
+            for process, report in self._counts().items()
+            if (kept := {w: c for w, c in report.items() if w > oldest})
+        }
+        for process in self._host.usage_by_process.keys() - counts.keys():
+            del self._host.usage_by_process[process]
+        ledger = UsageLedger(reports, counts)
+        if ledger == self._ledger:
+            return True
+        write = Write(USAGE_KEY, msgspec.msgpack.encode(ledger))
+        stored = await self._host.store.change(
+            {HOLDER_KEY: self._token, USAGE_KEY: self._revision},
             (write,),
             CALL_TIMEOUT_SECONDS,
         )
         if isinstance(stored, Err) or stored.ok_value is None:
             # Read again what is stored: a write whose answer was lost may be there.
             self._token = 0
-            return None
-        self._reports_by_window, self._revision = kept, stored.ok_value
-        return report
+            return False
+        self._ledger, self._revision = ledger, stored.ok_value
+        return True
+
+
+def _decode_ledger(value: bytes) -> UsageLedger:
+    try:
+        return msgspec.msgpack.decode(value, type=UsageLedger)
+    except msgspec.DecodeError as error:
+        log.error("stored usage unreadable", extra={"error": str(error)})
+        return EMPTY_LEDGER
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -266,6 +266,22 @@
     assert tokens == sorted(tokens)
 
 
+async def test_counts_outlast_the_loss_of_all_hosts_at_once(site, pair):
+    for number in range(20):
+        await site.ask(pair, "/plain/", f"r{number}")
+    await asyncio.sleep(1.5)
+    site.processes["host-1"].kill()
+    site.processes["host-1"].wait()
+    site.start_daemon("host-1", 21)
+    await site.wait_ready(pair)
+    async with asyncio.timeout(15):
+        while sum(u[2]["counts"].get("w1", 0) for u in site.store.usage) < 20:
+            await asyncio.sleep(0.1)
+
+    counted = {u[2]["window_id"]: u[2]["counts"].get("w1", 0) for u in site.store.usage}
+    assert sum(counted.values()) == 20
+
+
 async def test_a_planned_stop_cuts_nothing(site, pair):
     long_answer = stream(event(1), 1.5, event(2), 1.0, event(3))
     for endpoint in site.endpoints.values():
