Release the duties at a shutdown, and plan engines once all have announced themselves

And the first plan saw 2 of 9 provided engines and gave the rest back. Change: a host that shuts down ends the lease and says so in its exchanges; a new holder may contend at once. No plan is made before the engines have had 3 s to announce themselves. Tests: the state machine of the duties has the release.

--- a/src/amaranthhollow/decisions/duties.py
+++ b/src/amaranthhollow/decisions/duties.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from math import inf
 
 from amaranthhollow.decisions.control import Holding
 
@@ -21,11 +22,15 @@
 
 @dataclass(frozen=True)
 class HolderSeen:
-    """The holder that a host knows of, and when its lease ends at the latest."""
+    """The holder that a host knows of, and when its lease ends at the latest.
+
+    One that ended its lease itself, as it shuts down, has released it.
+    """
 
     host: str
     fencing_token: int
     lapses_at: float
+    is_released: bool = False
 
 
 @dataclass(frozen=True)
@@ -60,9 +65,19 @@
         if known is not None and known.fencing_token > seen.fencing_token:
             return self
         if known is not None and known.fencing_token == seen.fencing_token:
-            seen = replace(seen, lapses_at=max(seen.lapses_at, known.lapses_at))
+            if known.is_released:
+                return self
+            if not seen.is_released:
+                seen = replace(seen, lapses_at=max(seen.lapses_at, known.lapses_at))
         return replace(self, seen=seen)
 
+    def released(self, host: str) -> DutyState:
+        """Return the state of ``host`` after it ended its lease for good."""
+        if self.holding is None:
+            return replace(self, contends_at=inf)
+        seen = HolderSeen(host, self.holding.fencing_token, 0.0, is_released=True)
+        return replace(self, holding=None, seen=seen, contends_at=inf)
+
     def is_overdue(self, now: float) -> bool:
         """Tell whether the lease that is held has run out."""
         return self.holding is not None and now >= self.holding.expires_at
--- a/src/amaranthhollow/entry/duty_lease.py
+++ b/src/amaranthhollow/entry/duty_lease.py
@@ -44,14 +44,26 @@
 
     async def _step(self) -> None:
         host, instant = self._host, now()
+        if host.is_draining:
+            await self._release()
+            return
         if host.duty.is_overdue(instant):
             self._lose("overdue")
         if host.duty.holding is not None:
             if instant >= self._renew_at:
                 await self._renew()
-        elif not host.is_draining and host.duty.should_contend(host.rank, instant):
+        elif host.duty.should_contend(host.rank, instant):
             await self._contend()
 
+    async def _release(self) -> None:
+        """End the lease, so that another host need not wait until it lapses."""
+        host = self._host
+        if host.duty.holding is None:
+            return
+        host.duty = host.duty.released(host.name)
+        log.info("duties released")
+        await host.store.end(self._lease_id, CALL_TIMEOUT_SECONDS)
+
     async def _renew(self) -> None:
         host, asked_at = self._host, now()
         interval = host.duty.lease_seconds / RENEWALS_PER_LEASE
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -16,6 +16,7 @@
 from amaranthhollow.decisions.gossip import select_peers
 from amaranthhollow.decisions.quota import HostCounts
 from amaranthhollow.peers.datagrams import (
+    RELEASED,
     Echo,
     HostReport,
     Ping,
@@ -216,6 +217,8 @@
         elif duty.seen is not None:
             holder, token = duty.seen.host, duty.seen.fencing_token
             seconds = duty.seen.lapses_at - instant
+            if duty.seen.is_released:
+                seconds = RELEASED
         return Vouch(
             site.version,
             _age(site.configuration_proof.age(instant)),
@@ -259,9 +262,9 @@
                 self._fetch(name, ENDPOINTS_TARGET, vouch, proof.proven_at)
             site.vouch_endpoints(vouch.endpoints_fingerprint, proof)
         if vouch.holder and vouch.holder != self._host.name:
-            seen = HolderSeen(
-                vouch.holder, vouch.fencing_token, now() + vouch.holder_seconds
-            )
+            is_released = vouch.holder_seconds == RELEASED
+            lapses_at = 0.0 if is_released else now() + vouch.holder_seconds
+            seen = HolderSeen(vouch.holder, vouch.fencing_token, lapses_at, is_released)
             self._host.duty = self._host.duty.heard_of(seen)
 
     # Documents.
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -32,6 +32,9 @@
 # Engines are refused where they are not to be had; that lasts several seconds.
 UNAVAILABLE_SECONDS = 3.0
 SAMPLE_SECONDS = 0.1
+# Engines announce themselves about once a second (platform's settings, heartbeat);
+# no plan is made before all of those that run have done so.
+SETTLE_SECONDS = 3.0
 SAMPLES_PER_PLAN = 5
 
 log = logbook.Logger("scaling")
@@ -49,6 +52,7 @@
         self._next_at_by_subject: dict[tuple[str, str, bool], float] = {}
         self._refused_until_by_subject: dict[tuple[str, str, bool], float] = {}
         self._demand_by_service: dict[str, DemandEstimate] = {}
+        self._seen_at_by_service: dict[str, float] = {}
 
     async def run(self) -> None:
         """Sample the demand and order engines until cancelled."""
@@ -86,15 +90,15 @@
         ]
 
     def _sample(self, service: Service) -> None:
-        chooser, endpoints, instant = (
-            self._host.chooser,
-            self._endpoints(service),
-            now(),
-        )
+        chooser, instant = self._host.chooser, now()
+        endpoints = self._endpoints(service)
+        if endpoints:
+            self._seen_at_by_service.setdefault(service.name, instant)
+        seen_at = self._seen_at_by_service.get(service.name, instant)
+        if instant < seen_at + SETTLE_SECONDS:
+            return
         demand = self._demand_by_service.get(service.name)
         if demand is None:
-            if not endpoints:
-                return
             centres = len(service.scaling.price_by_data_centre)
             demand = DemandEstimate.provided(len(endpoints), centres, instant)
         busy = busy_engines(chooser.load(endpoint.host) for endpoint in endpoints)
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -6,7 +6,18 @@
 
 from amaranthhollow.decisions.gossip import GossipMessage
 
-__all__ = ["Echo", "HostReport", "Ping", "Vouch", "decode_datagram", "encode_datagram"]
+__all__ = [
+    "RELEASED",
+    "Echo",
+    "HostReport",
+    "Ping",
+    "Vouch",
+    "decode_datagram",
+    "encode_datagram",
+]
+
+# The seconds that a released lease still lasts, on the wire.
+RELEASED = -1_000_000.0
 
 
 class HostReport(msgspec.Struct, frozen=True, array_like=True):
@@ -25,7 +36,8 @@
     """What a host holds, and how old its proof is that it is the newest.
 
     Ages are in seconds when the message was sent; negative if there is no proof.
-    ``holder`` has the duties, under a lease that lasts ``holder_seconds`` more.
+    ``holder`` has the duties, under a lease that lasts ``holder_seconds`` more, or
+    has released them.
     """
 
     configuration_version: int
--- a/tests/decisions/test_duties.py
+++ b/tests/decisions/test_duties.py
@@ -68,6 +68,18 @@
         if self.states[host].is_overdue(self.now):
             self.states[host] = self.states[host].lost(self.now)
 
+    @rule(host=st.sampled_from(HOSTS))
+    def shuts_down_and_restarts(self, host):
+        """The balancer's notice and the grace lie between release and restart."""
+        if self.stored is not None and self.stored.host == host:
+            self.stored = None
+        released = self.states[host].released(host)
+        for other in HOSTS:
+            if other != host and released.seen is not None:
+                self.states[other] = self.states[other].heard_of(released.seen)
+        self.now += LEASE_SECONDS
+        self.states[host] = DutyState(LEASE_SECONDS)
+
     @rule(teller=st.sampled_from(HOSTS), hearer=st.sampled_from(HOSTS))
     def hears_of_the_holder(self, teller, hearer):
         holding = self.states[teller].holding
