--- /dev/null
+++ b/benchmarks/entry_capacity.py
@@ -0,0 +1,133 @@
+"""What the decisions of an entry host cost as endpoints and hosts grow."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from amaranthhollow.decisions.choice import EndpointChooser, PromptShape, SentLoad
+from amaranthhollow.decisions.endpoints import Endpoint, ListedEndpoint
+from amaranthhollow.decisions.gossip import GossipMessage
+from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
+from amaranthhollow.decisions.site import Quota
+from amaranthhollow.peers.datagrams import (
+    Echo,
+    HostReport,
+    Vouch,
+    decode_datagram,
+    encode_datagram,
+)
+from amaranthhollow.platform.documents import decode_endpoint
+from amaranthhollow.state.site_state import (
+    EndpointSnapshot,
+    SiteDecoders,
+    SiteState,
+    StoredEntry,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__: list[str] = []
+
+ENDPOINT_COUNTS = (13, 100, 630)
+REPEATS = 200
+WORKSPACES = 16
+OPEN_REQUESTS_AT = 30
+
+
+def microseconds(job: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Return the processor time of one call."""
+    started = time.process_time()
+    for _ in range(repeats):
+        job()
+    return (time.process_time() - started) / repeats * 1e6
+
+
+def endpoints(count: int) -> list[Endpoint]:
+    """Return engines of one service."""
+    return [
+        Endpoint(
+            ListedEndpoint(f"i-{n:08x}", n, "10.0.0.1", 1, "dc-1", "model"), "live"
+        )
+        for n in range(count)
+    ]
+
+
+def measure_choice(count: int) -> float:
+    """Choose among ``count`` engines that several hosts use."""
+    chooser = EndpointChooser("dc-1", Random(1))
+    engines = endpoints(count)
+    for host in range(8):
+        loads = {e.host: SentLoad(2, 500) for e in engines[:OPEN_REQUESTS_AT]}
+        chooser.learn(f"host-{host}", loads)
+    prompt = PromptShape("a1b2", 13_000, 3_000)
+    return microseconds(lambda: chooser.choose(engines, prompt, (), 1.0))
+
+
+def report(count: int) -> HostReport:
+    """Return the report of a host with requests at ``count`` engines."""
+    usage = {w: {f"w-{n}": 40 for n in range(WORKSPACES)} for w in range(5)}
+    spent = {f"w-{n}": 1e6 + n for n in range(WORKSPACES)}
+    return HostReport(usage, spent, {f"i-{n:08x}": (2, 500) for n in range(count)})
+
+
+def measure_exchange(count: int) -> tuple[int, float]:
+    """Return the bytes of an echo and the time to encode and decode it."""
+    gossip = GossipMessage("host-1", (), tuple(range(2**50, 2**50 + 16)))
+    vouch = Vouch(7, 0.3, 9000, 2**50, 0.3, "host-2", 12, 2.0)
+    echo = Echo(1, "host-1", 1, gossip, report(min(count, OPEN_REQUESTS_AT)), vouch)
+    data = encode_datagram(echo)
+    return len(data), microseconds(lambda: decode_datagram(encode_datagram(echo)))
+
+
+def measure_snapshot(count: int) -> tuple[int, float]:
+    """Return the bytes of all entries and the time to take them in, one changed."""
+    entry = {
+        "backend": "model",
+        "address": "10.0.0.1:80",
+        "zone": "dc-1",
+        "slots": 64,
+        "state": "ready",
+        "born": 1,
+        "models": [{"name": "m", "version": 1, "adapters": []}],
+    }
+    value = msgspec.json.encode(entry)
+    site = SiteState(SiteDecoders(lambda value: None, decode_endpoint))
+    revision = 0
+
+    def take_in() -> None:
+        nonlocal revision
+        revision += 1
+        entries = [StoredEntry(f"i-{n:08x}", value, 1) for n in range(count)]
+        entries[0] = StoredEntry("i-00000000", value, revision)
+        site.apply_endpoints(EndpointSnapshot(revision, tuple(entries)), 1.0, 1.0)
+
+    return count * len(value), microseconds(take_in, 20)
+
+
+def measure_quota() -> float:
+    """Admit a request of one of several workspaces."""
+    limiter = QuotaLimiter()
+    quota = Quota(1e6, 1e6, counts_tokens=True, plain_tokens=200)
+    hosts = HostCounts(370, 370)
+    return microseconds(lambda: limiter.admit("w", quota, 200.0, hosts, 1.0))
+
+
+def main() -> None:
+    """Print every figure."""
+    for count in ENDPOINT_COUNTS:
+        size, seconds = measure_snapshot(count)
+        print(
+            f"{count:4} endpoints: a choice {measure_choice(count):.0f} us, "
+            f"their entries {size / 1000:.0f} KB and {seconds:.0f} us to take in"
+        )
+        size, seconds = measure_exchange(count)
+        print(f"     an echo {size} bytes, {seconds:.0f} us to encode and decode")
+    print(f"a quota: {measure_quota():.1f} us a request")
+
+
+main()
