Give provided engines back at once while a site is idle from its first start

Change: with the platform's word that the whole system starts for the first time, and no request seen, engines on demand are not kept; plans wait 2 s in place of 3.

--- a/src/amaranthhollow/decisions/planner.py
+++ b/src/amaranthhollow/decisions/planner.py
@@ -69,11 +69,14 @@
     needed: int,
     stand_ins: int = 0,
     unavailable: Collection[str] = (),
+    *,
+    is_idle: bool = False,
 ) -> list[EngineOrder]:
     """Return the wanted state of every data centre.
 
     ``needed`` engines are to be left when one data centre is lost. Engines on demand
-    stay until reclaimable ones take work in their place. They are ordered for what
+    stay until reclaimable ones take work in their place, unless the site ``is_idle``
+    because no request has come since its first start. They are ordered for what
     the data centres in ``unavailable`` cannot give, up to ``stand_ins`` in all.
     """
     centres = sorted(
@@ -84,7 +87,8 @@
     orders = []
     for centre in centres:
         here = counts.get(centre, EngineCounts())
-        kept = 0 if here.reclaimable else min(here.on_demand, bounds.max_engines - 1)
+        is_replaced = is_idle or here.reclaimable > 0
+        kept = 0 if is_replaced else min(here.on_demand, bounds.max_engines - 1)
         taken = here.reclaimable if centre in unavailable else each
         room = max(0, bounds.max_engines - max(taken, 1))
         on_demand = max(kept, min(room, missing))
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -32,9 +32,9 @@
 # Engines are refused where they are not to be had; that lasts several seconds.
 UNAVAILABLE_SECONDS = 3.0
 SAMPLE_SECONDS = 0.1
-# Engines announce themselves about once a second (platform's settings, heartbeat);
-# no plan is made before all of those that run have done so.
-SETTLE_SECONDS = 3.0
+# Engines announce themselves every 1.2 s (platform's settings, heartbeat); no plan is
+# made before all of those that run have done so and were read.
+SETTLE_SECONDS = 2.0
 SAMPLES_PER_PLAN = 5
 
 log = logbook.Logger("scaling")
@@ -125,6 +125,7 @@
             needed,
             demand.stand_in_engines,
             unavailable,
+            is_idle=self._host.settings.is_first_start and not demand.has_traffic,
         )
         for order in plan:
             if self._is_due(order, counts.get(order.data_centre, EngineCounts())):
--- a/src/amaranthhollow/entry/settings.py
+++ b/src/amaranthhollow/entry/settings.py
@@ -54,6 +54,7 @@
     cloud: str
     peer_ports: PortRange
     bounds: Bounds
+    is_first_start: bool = False
 
 
 def read_entry_settings(
--- a/tests/decisions/test_planner.py
+++ b/tests/decisions/test_planner.py
@@ -51,6 +51,13 @@
     assert wanted(after, is_reclaimable=False)["dc-1"] == 0
 
 
+def test_an_idle_site_keeps_no_engines_on_demand(bounds):
+    counts = {"dc-1": EngineCounts(0, 2)}
+    orders = plan_service("model", bounds, counts, needed=9, is_idle=True)
+
+    assert sum(wanted(orders, is_reclaimable=False).values()) == 0
+
+
 def test_a_reclaim_with_none_to_be_had_orders_engines_on_demand(bounds):
     counts = dict.fromkeys(["dc-1", "dc-2", "dc-3"], EngineCounts(3, 0))
     orders = plan_service(
