Refuse requests that crash the endpoints that run them, on every host

Cause: nothing on the users' platform kept a request that crashes each engine from being sent to more of them when its client sends it again. Change: a lost connection counts as a crash when the endpoint takes no new connection a moment later; evidence goes through gossip to the quarantine that the own interface uses; a request that an endpoint ran well since is cleared everywhere. The quarantine no longer takes the loss of endpoints one after the other, all by one request, for the loss of a data centre; the existing test of simultaneous losses stands.

--- a/src/amaranthhollow/decisions/quarantine.py
+++ b/src/amaranthhollow/decisions/quarantine.py
@@ -34,7 +34,6 @@
 VERDICT_SECONDS = 0.9
 SLOT_SECONDS = 60.0
 EVIDENCE_RETENTION_SECONDS = 3600.0
-DATA_CENTRE_LOSS_ENDPOINTS = 2
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
@@ -101,12 +100,14 @@
         incarnation: int,
         data_centre: str,
         now: float,
+        lost_at: float | None = None,
     ) -> float:
-        """Note a connection lost without a notice.
+        """Note a connection lost without a notice, at ``lost_at`` if before ``now``.
 
         Returns the instant from which the request may be tried again.
         """
-        evidence = Evidence(request_digest, f"{host}@{incarnation}", now)
+        at = now if lost_at is None else lost_at
+        evidence = Evidence(request_digest, f"{host}@{incarnation}", at)
         settles_at = now + SETTLE_SECONDS
         self._losses.append(_Loss(evidence, host, data_centre, settles_at))
         if self.is_suspect(request_digest):
@@ -116,20 +117,18 @@
     def settle(self, reclaimed: Iterable[str], now: float) -> list[Fact]:
         """Return the evidence that is now settled.
 
-        The loss of a host in ``reclaimed``, or of several in one data centre at
-        once, says nothing about the requests that were running.
+        The loss of a host in ``reclaimed`` says nothing about the requests that were
+        running, nor does that of several in one data centre at once, unless the
+        request was running on one after the other.
         """
         due = [loss for loss in self._losses if loss.settles_at <= now]
-        lost_by_data_centre: dict[str, set[str]] = {}
-        for loss in self._losses:
-            lost_by_data_centre.setdefault(loss.data_centre, set()).add(loss.host)
-        self._losses = [loss for loss in self._losses if loss.settles_at > now]
+        losses = self._losses
+        self._losses = [loss for loss in losses if loss.settles_at > now]
         excused = set(reclaimed)
         return [
             _fact(loss.evidence)
             for loss in due
-            if loss.host not in excused
-            and len(lost_by_data_centre[loss.data_centre]) < DATA_CENTRE_LOSS_ENDPOINTS
+            if loss.host not in excused and not _lost_without(loss, losses)
         ]
 
     def apply(self, fact: Fact) -> Evidence:
@@ -192,6 +191,19 @@
             del self._taken_by_host[host]
 
 
+def _lost_without(loss: _Loss, losses: Iterable[_Loss]) -> bool:
+    """Tell whether the data centre lost a host that did not run the request."""
+    hosts = {o.host for o in losses if o.data_centre == loss.data_centre}
+    own = loss.evidence
+    ran_on = {
+        other.host
+        for other in losses
+        if other.evidence.request_digest == own.request_digest
+        and other.evidence.at != own.at
+    }
+    return bool(hosts - ran_on - {loss.host})
+
+
 def _discard(index: dict, outer: bytes | str, inner: bytes | str) -> None:
     index[outer].pop(inner, None)
     if not index[outer]:
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -15,6 +15,7 @@
     from amaranthhollow.decisions.duties import DutyState
     from amaranthhollow.decisions.membership import Membership
     from amaranthhollow.decisions.usage import UsageCounts
+    from amaranthhollow.entry.crash_watch import CrashWatch
     from amaranthhollow.entry.metrics import Metrics
     from amaranthhollow.entry.settings import EntrySettings
     from amaranthhollow.platform.store import StoreClient
@@ -37,6 +38,7 @@
     metrics: Metrics
     random: Random
     duty: DutyState
+    crashes: CrashWatch
     quotas: QuotaLimiter = field(default_factory=QuotaLimiter)
     budgets_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
     usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -193,7 +193,7 @@
 
     def _merge(self, message: Ping | Echo) -> object:
         membership = self._host.membership
-        membership.merge(message.gossip.facts, now())
+        self._host.crashes.learn(membership.merge(message.gossip.facts, now()))
         return membership.table.message(message.gossip)
 
     def _echo(self, ping: Ping, reply: object) -> Echo:
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -24,6 +24,10 @@
 __all__ = ["RequestHandler", "forwarding_policy"]
 
 BAD_REQUEST = 400
+UNAVAILABLE = 503
+SUCCESS = range(200, 300)
+# The request would crash the endpoint again; operators have to look into it first.
+QUARANTINE_RETRY_SECONDS = 60.0
 # A client that comes back finds another host, or this one when it is done.
 DRAIN_RETRY_SECONDS = 0.1
 
@@ -47,6 +51,7 @@
         request: CallerRequest, admitted: Admitted, endpoint: Endpoint
     ) -> None:
         host.metrics.attempt_failures.labels(admitted.service).inc()
+        host.crashes.connection_lost(request, endpoint)
 
     return ForwardingPolicy(
         take_repeat, count_begun, connection_lost, host.random.random
@@ -70,7 +75,11 @@
             exchange.respond(BAD_REQUEST, [], b"")
             return
         if self.refuses_new:
-            decision = Refused(503, "shutting down", DRAIN_RETRY_SECONDS)
+            decision = Refused(UNAVAILABLE, "shutting down", DRAIN_RETRY_SECONDS)
+        elif self._host.crashes.is_quarantined(request):
+            decision = Refused(
+                UNAVAILABLE, "crashes endpoints", QUARANTINE_RETRY_SECONDS
+            )
         else:
             decision = self._admission.decide(request, now())
         match decision:
@@ -123,6 +132,8 @@
         run: RequestLog,
     ) -> None:
         instant = now()
+        if exchange.is_finished and exchange.status in SUCCESS:
+            self._host.crashes.succeeded(request)
         metrics, route = self._host.metrics, admitted.route.name
         status = exchange.status
         if exchange.is_abandoned:
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -16,6 +16,7 @@
 from amaranthhollow.decisions.quota import QuotaLimiter, QuotaTolerance
 from amaranthhollow.decisions.site import RequestLimits
 from amaranthhollow.decisions.usage import UsageCounts
+from amaranthhollow.entry.crash_watch import CrashWatch
 from amaranthhollow.entry.duty_lease import DutyLease
 from amaranthhollow.entry.host import Host
 from amaranthhollow.entry.metrics import CONTENT_TYPE, Metrics
@@ -120,6 +121,7 @@
             DutyLease(host).run(),
             UsageDuty(host, cloud).run(),
             ScalingDuty(host, cloud).run(),
+            host.crashes.run(),
             self._upkeep(),
         ]
         tasks = [asyncio.create_task(job) for job in jobs]
@@ -203,11 +205,14 @@
         metrics.store_calls.labels(kind, succeeded).inc()
 
     bounds = settings.bounds
+    site = SiteState(SiteDecoders(decode_configuration, decode_endpoint))
+    membership = Membership(settings.host, incarnation, info)
     return Host(
         settings=settings,
         incarnation=incarnation,
-        site=SiteState(SiteDecoders(decode_configuration, decode_endpoint)),
-        membership=Membership(settings.host, incarnation, info),
+        site=site,
+        membership=membership,
+        crashes=CrashWatch(site, membership),
         chooser=EndpointChooser(settings.data_centre, random),
         usage=UsageCounts(bounds.usage_window),
         store=StoreClient(HttpCaller(*_split_address(settings.store)), count_call),
