--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -7,6 +7,7 @@
 
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.retries import RepeatBudget
+from amaranthhollow.serving.clock import now
 
 if TYPE_CHECKING:
     from random import Random
@@ -14,6 +15,7 @@
     from amaranthhollow.decisions.choice import EndpointChooser
     from amaranthhollow.decisions.duties import DutyState
     from amaranthhollow.decisions.membership import Membership
+    from amaranthhollow.decisions.site_clock import SiteClock
     from amaranthhollow.decisions.usage import UsageCounts
     from amaranthhollow.entry.crash_watch import CrashWatch
     from amaranthhollow.entry.metrics import Metrics
@@ -39,6 +41,7 @@
     random: Random
     duty: DutyState
     crashes: CrashWatch
+    clock: SiteClock
     quotas: QuotaLimiter = field(default_factory=QuotaLimiter)
     budgets_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
     usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
@@ -51,6 +54,10 @@
         """The name of the host."""
         return self.settings.host
 
+    def wall_time(self) -> float:
+        """Return the time of day that the hosts agree on, since 1970 in seconds."""
+        return self.clock.wall_time(now())
+
     @property
     def process(self) -> str:
         """The name of this process: of the host and of its start."""
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -175,6 +175,7 @@
         for name in [h for h, age in ages.items() if age >= KNOWN_SECONDS]:
             del self._heard_at_by_host[name]
             host.chooser.forget_host(name)
+            host.clock.forget(name)
         for process, at in list(self._heard_at_by_process.items()):
             if instant - at >= REPORT_RETENTION_SECONDS:
                 del self._heard_at_by_process[process]
@@ -205,6 +206,7 @@
             reply,
             self._report(),
             self._vouch(),
+            host.clock.own_wall_time(now()),
         )
 
     def _vouch(self) -> Vouch:
@@ -246,6 +248,8 @@
             return
         self._take_in(echo.host, echo.incarnation, echo.report)
         self._merge(echo)
+        middle = (asked.asked_at + now()) / 2
+        self._host.clock.learn(echo.host, echo.wall_time, middle)
         self._take_vouch(echo.host, echo.vouch, asked.asked_at)
 
     def _take_vouch(self, name: str, vouch: Vouch, asked_at: float) -> None:
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 import logbook
@@ -45,7 +44,7 @@
 
     def count_begun(admitted: Admitted) -> None:
         if admitted.workspace is not None:
-            host.usage.began(admitted.workspace.name, time.time())
+            host.usage.began(admitted.workspace.name, host.wall_time())
 
     def connection_lost(
         request: CallerRequest, admitted: Admitted, endpoint: Endpoint
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -15,6 +15,7 @@
 from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
 from amaranthhollow.decisions.quota import QuotaLimiter, QuotaTolerance
 from amaranthhollow.decisions.site import RequestLimits
+from amaranthhollow.decisions.site_clock import SiteClock
 from amaranthhollow.decisions.usage import UsageCounts
 from amaranthhollow.entry.crash_watch import CrashWatch
 from amaranthhollow.entry.duty_lease import DutyLease
@@ -213,6 +214,7 @@
         site=site,
         membership=membership,
         crashes=CrashWatch(site, membership),
+        clock=SiteClock(time.time(), now()),
         chooser=EndpointChooser(settings.data_centre, random),
         usage=UsageCounts(bounds.usage_window),
         store=StoreClient(HttpCaller(*_split_address(settings.store)), count_call),
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 import logbook
@@ -65,7 +64,7 @@
         self._token = 0
         self._sent: set[int] = set()
         self._save_at = 0.0
-        self._first_window = host.usage.window_at(time.time())
+        self._first_window = host.usage.window_at(host.wall_time())
 
     async def run(self) -> None:
         """Report what is due, until cancelled."""
@@ -88,7 +87,7 @@
     def _due_windows(self) -> list[int]:
         """Return the windows that have settled, are not sent and not yet overdue."""
         usage, bounds = self._host.usage, self._host.settings.bounds
-        wall = time.time()
+        wall = self._host.wall_time()
         last = usage.window_at(wall - SETTLE_SECONDS) - 1
         overdue = usage.window_at(wall - bounds.usage_due) - 1
         first = max(overdue, self._first_window)
@@ -144,7 +143,7 @@
         """Store reports and counts, under the condition that the duty is still held."""
         self._save_at = now() + SAVE_SECONDS
         reports = {w: reports[w] for w in sorted(reports)[-REPORTS_KEPT:]}
-        oldest = self._host.usage.window_at(time.time()) - WINDOWS_KEPT
+        oldest = self._host.usage.window_at(self._host.wall_time()) - WINDOWS_KEPT
         counts = {
             process: kept
             for process, report in self._counts().items()
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -61,7 +61,7 @@
 
 
 class Echo(msgspec.Struct, frozen=True, array_like=True, tag="echo"):
-    """Answers a :class:`Ping`."""
+    """Answers a :class:`Ping`; ``wall_time`` is the sender's, since 1970 in seconds."""
 
     nonce: int
     host: str
@@ -69,6 +69,7 @@
     gossip: GossipMessage
     report: HostReport
     vouch: Vouch
+    wall_time: float
 
 
 def encode_datagram(message: Ping | Echo) -> bytes:
