Report only the latest windows of usage to peers

Cause: an echo of 1,099 to 1,373 bytes, most of it five windows of usage, of which the earlier ones do not change; 12 peers four times a second make over 100 KB/s. Change: two windows; a peer merges them with what it heard before.

--- a/src/amaranthhollow/decisions/usage.py
+++ b/src/amaranthhollow/decisions/usage.py
@@ -8,7 +8,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-__all__ = ["WINDOWS_KEPT", "CountsByWindow", "UsageCounts", "total_counts"]
+__all__ = [
+    "WINDOWS_KEPT",
+    "CountsByWindow",
+    "UsageCounts",
+    "merged_counts",
+    "total_counts",
+]
 
 # A report is due before this many further windows have ended.
 WINDOWS_KEPT = 5
@@ -35,9 +41,16 @@
         for old in [w for w in self._counts_by_window if w <= window - WINDOWS_KEPT]:
             del self._counts_by_window[old]
 
-    def report(self) -> CountsByWindow:
-        """Return the counts of the latest windows."""
-        return {w: dict(counts) for w, counts in self._counts_by_window.items()}
+    def report(self, windows: int = WINDOWS_KEPT) -> CountsByWindow:
+        """Return the counts of the latest ``windows``."""
+        latest = sorted(self._counts_by_window)[-windows:]
+        return {w: dict(self._counts_by_window[w]) for w in latest}
+
+
+def merged_counts(known: CountsByWindow, newer: CountsByWindow) -> CountsByWindow:
+    """Return a process's counts after a newer report of its latest windows."""
+    merged = {**known, **newer}
+    return {w: merged[w] for w in sorted(merged)[-WINDOWS_KEPT:]}
 
 
 def total_counts(
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -15,6 +15,7 @@
 from amaranthhollow.decisions.freshness import vouched_proof
 from amaranthhollow.decisions.gossip import select_peers
 from amaranthhollow.decisions.quota import HostCounts
+from amaranthhollow.decisions.usage import merged_counts
 from amaranthhollow.peers.datagrams import (
     RELEASED,
     Echo,
@@ -45,6 +46,8 @@
 # The counts of a process that ended are needed until its last window is reported.
 REPORT_RETENTION_SECONDS = 60.0
 FETCH_TIMEOUT_SECONDS = 0.7
+# Earlier windows do not change any more, and peers have heard of them many times.
+REPORTED_WINDOWS = 2
 LOST_TRY_ROUNDS = 8
 
 CONFIGURATION_TARGET = b"/configuration"
@@ -190,7 +193,8 @@
             endpoint: (load.requests, load.pending_tokens)
             for endpoint, load in host.chooser.own_loads().items()
         }
-        return HostReport(host.usage.report(), host.quotas.spent(), loads)
+        usage = host.usage.report(REPORTED_WINDOWS)
+        return HostReport(usage, host.quotas.spent(), loads)
 
     def _merge(self, message: Ping | Echo) -> object:
         membership = self._host.membership
@@ -240,7 +244,8 @@
         loads = {e: SentLoad(*load) for e, load in report.loads.items()}
         host.chooser.learn(name, loads)
         host.quotas.learn(process, report.spent)
-        host.usage_by_process[process] = report.usage
+        known = host.usage_by_process.get(process, {})
+        host.usage_by_process[process] = merged_counts(known, report.usage)
 
     def _take_echo(self, echo: Echo) -> None:
         asked = self._asked_by_nonce.pop(echo.nonce, None)
--- a/tests/decisions/test_sharing.py
+++ b/tests/decisions/test_sharing.py
@@ -13,7 +13,7 @@
 )
 from amaranthhollow.decisions.retries import RepeatBudget
 from amaranthhollow.decisions.site import Quota
-from amaranthhollow.decisions.usage import UsageCounts, total_counts
+from amaranthhollow.decisions.usage import UsageCounts, merged_counts, total_counts
 
 HOSTS = 8
 RATE = 100_000.0
@@ -124,6 +124,16 @@
     assert total_counts(2, reports) == {"w": 2}
 
 
+def test_a_report_of_the_latest_windows_keeps_the_earlier_ones():
+    known = {1: {"w": 4}, 2: {"w": 5}}
+
+    assert merged_counts(known, {2: {"w": 7}, 3: {"w": 1}}) == {
+        1: {"w": 4},
+        2: {"w": 7},
+        3: {"w": 1},
+    }
+
+
 def test_old_windows_are_forgotten():
     usage = UsageCounts(5.0)
     for window in range(100):
