Keep sums of what other hosts sent, and test the choice of an endpoint

Cause: a choice added up the reports of all hosts for each endpoint, so it grew with hosts times endpoints.

--- a/benchmarks/entry_capacity.py
+++ b/benchmarks/entry_capacity.py
@@ -37,6 +37,7 @@
 REPEATS = 200
 WORKSPACES = 16
 OPEN_REQUESTS_AT = 30
+HOSTS = 370
 
 
 def microseconds(job: Callable[[], object], repeats: int = REPEATS) -> float:
@@ -61,7 +62,7 @@
     """Choose among ``count`` engines that several hosts use."""
     chooser = EndpointChooser("dc-1", Random(1))
     engines = endpoints(count)
-    for host in range(8):
+    for host in range(HOSTS):
         loads = {e.host: SentLoad(2, 500) for e in engines[:OPEN_REQUESTS_AT]}
         chooser.learn(f"host-{host}", loads)
     prompt = PromptShape("a1b2", 13_000, 3_000)
--- a/src/amaranthhollow/decisions/choice.py
+++ b/src/amaranthhollow/decisions/choice.py
@@ -44,6 +44,13 @@
     requests: int = 0
     pending_tokens: int = 0
 
+    def plus(self, other: SentLoad, times: int = 1) -> SentLoad:
+        """Return the sum with ``other``, or what is left if ``times`` is -1."""
+        return SentLoad(
+            self.requests + times * other.requests,
+            self.pending_tokens + times * other.pending_tokens,
+        )
+
 
 @dataclass(frozen=True)
 class PromptShape:
@@ -75,7 +82,8 @@
         self._data_centre = data_centre
         self._random = random
         self._own_by_endpoint: dict[str, SentLoad] = {}
-        self._others_by_host: dict[str, Mapping[str, SentLoad]] = {}
+        self._loads_by_host: dict[str, Mapping[str, SentLoad]] = {}
+        self._others_by_endpoint: dict[str, SentLoad] = {}
         self._failures_by_endpoint: dict[str, _FailureRate] = {}
         self._prefixes_by_endpoint: dict[str, OrderedDict[str, None]] = {}
 
@@ -112,11 +120,13 @@
 
     def learn(self, host: str, loads: Mapping[str, SentLoad]) -> None:
         """Take in what another host has at each endpoint."""
-        self._others_by_host[host] = loads
+        self.forget_host(host)
+        self._loads_by_host[host] = loads
+        self._add_others(loads, 1)
 
     def forget_host(self, host: str) -> None:
         """Forget a host that is gone."""
-        self._others_by_host.pop(host, None)
+        self._add_others(self._loads_by_host.pop(host, {}), -1)
 
     def retain(self, endpoint_ids: Collection[str]) -> None:
         """Forget all other endpoints."""
@@ -127,13 +137,8 @@
     def load(self, endpoint_id: str) -> SentLoad:
         """Return what all hosts are known to have at an endpoint."""
         own = self._own_by_endpoint.get(endpoint_id, NO_LOAD)
-        requests, pending = own.requests, own.pending_tokens
-        for loads in self._others_by_host.values():
-            other = loads.get(endpoint_id)
-            if other is not None:
-                requests += other.requests
-                pending += other.pending_tokens
-        return SentLoad(requests, pending)
+        others = self._others_by_endpoint.get(endpoint_id)
+        return own if others is None else own.plus(others)
 
     def choose(
         self,
@@ -199,6 +204,16 @@
         else:
             self._own_by_endpoint[endpoint_id] = changed
 
+    def _add_others(self, loads: Mapping[str, SentLoad], times: int) -> None:
+        """Add the loads of another host to the sums, or take them away."""
+        for endpoint_id, load in loads.items():
+            known = self._others_by_endpoint.get(endpoint_id, NO_LOAD)
+            changed = known.plus(load, times)
+            if changed == NO_LOAD:
+                self._others_by_endpoint.pop(endpoint_id, None)
+            else:
+                self._others_by_endpoint[endpoint_id] = changed
+
     def _holds(self, endpoint_id: str, prefix_key: str) -> bool:
         return prefix_key in self._prefixes_by_endpoint.get(endpoint_id, ())
 
--- /dev/null
+++ b/tests/decisions/test_choice.py
@@ -0,0 +1,87 @@
+"""The choice of an endpoint: cached prefixes, queued prompts, failures, other hosts."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from amaranthhollow.decisions.choice import EndpointChooser, PromptShape, SentLoad
+from amaranthhollow.decisions.endpoints import Endpoint, ListedEndpoint
+
+HOT = PromptShape("hot", 13_000, 3_000)
+
+
+def endpoint(name, data_centre="dc-1", slots=64):
+    listed = ListedEndpoint(name, 1, "10.0.0.1", 1, data_centre, "model", slots=slots)
+    return Endpoint(listed, "live")
+
+
+@pytest.fixture
+def chooser():
+    return EndpointChooser("dc-1", Random(7))
+
+
+@pytest.fixture
+def engines():
+    return [endpoint(f"e{number}") for number in range(6)]
+
+
+def test_hosts_agree_on_the_endpoint_of_a_prefix(engines):
+    choosers = [EndpointChooser("dc-1", Random(seed)) for seed in range(4)]
+    chosen = {c.choose(engines, HOT, (), 0.0).host for c in choosers}
+
+    assert len(chosen) == 1
+
+
+def test_a_hot_prefix_spreads_before_its_endpoint_queues_for_long(chooser, engines):
+    """Many callers ask about one thing in the same moment."""
+    for _ in range(40):
+        chosen = chooser.choose(engines, HOT, (), 0.0)
+        chooser.started(chosen.host, HOT)
+
+    loads = chooser.own_loads()
+    assert len(loads) == len(engines)
+    assert max(load.pending_tokens for load in loads.values()) < 60_000
+
+
+def test_a_short_prompt_does_not_wait_behind_a_long_one(chooser, engines):
+    short = PromptShape("short", 300, 700)
+    first = chooser.choose(engines, short, (), 0.0)
+    chooser.learn("other-host", {first.host: SentLoad(1, 50_000)})
+
+    assert chooser.choose(engines, short, (), 0.0).host != first.host
+
+
+def test_what_other_hosts_sent_counts_until_they_say_otherwise(chooser, engines):
+    chooser.learn("a", {"e0": SentLoad(2, 100)})
+    chooser.learn("b", {"e0": SentLoad(3, 200), "e1": SentLoad(1, 0)})
+    assert chooser.load("e0") == SentLoad(5, 300)
+
+    chooser.learn("a", {})
+    chooser.forget_host("b")
+    assert chooser.load("e0") == chooser.load("e1") == SentLoad()
+
+
+def test_an_endpoint_that_fails_is_avoided_and_tried_again_later(chooser):
+    services = [endpoint("good"), endpoint("bad")]
+    for _ in range(6):
+        chooser.failed("bad", 1.0)
+    soon = Counter(chooser.choose(services, None, (), 1.1).host for _ in range(50))
+    later = Counter(chooser.choose(services, None, (), 30.0).host for _ in range(50))
+
+    assert soon["bad"] == 0
+    assert later["bad"] > 10
+
+
+def test_plain_calls_stay_in_their_data_centre_while_it_has_room(chooser):
+    near, far = endpoint("near", slots=6), endpoint("far", "dc-2", slots=6)
+    chosen = []
+    for _ in range(8):
+        best = chooser.choose([near, far], None, (), 0.0)
+        chooser.started(best.host, None)
+        chosen.append(best.host)
+
+    assert chosen[0] == "near"
+    assert 0 < Counter(chosen)["far"] < 4
--- /dev/null
+++ b/tests/entry/test_settings.py
@@ -0,0 +1,93 @@
+"""The settings of an entry host: the deployed template, and every finding in a file."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from amaranthhollow.entry.settings import read_entry_settings
+
+TEMPLATE = Path(__file__).resolve().parents[2] / "deploy" / "settings.yaml"
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}")
+PLACEHOLDER = re.compile(r"\{\{([\w.]+)\}\}")
+# As the users' pages show them, with the figures of one of their sites.
+PLATFORM = {
+    "node_name": "edge-qld-a-1",
+    "zone": "qld-a",
+    "ip": "10.1.0.14",
+    "bootstrap": "true",
+    "listen.front": "10.1.0.14:8221",
+    "listen.ready": "10.1.0.14:8224",
+    "provider.address": "10.200.1.7:8225",
+    "cloud.address": "10.200.0.35:8225",
+    "internal_ports.0": "7600",
+    "internal_ports.1": "7615",
+    "bounds.revoke_ms": "5000",
+    "bounds.lease_ms": "3000",
+    "bounds.grace_s": "8",
+    "bounds.usage_window_s": "5",
+    "bounds.usage_late_s": "10",
+    "bounds.budget_ratio": "0.2",
+    "bounds.budget_slack": "56",
+    "bounds.budget_window_s": "10",
+    "bounds.quota_window_s": "8",
+    "bounds.quota_over": "0.1",
+    "bounds.quota_slack": "190000",
+}
+
+
+def rendered(values):
+    """Fill in the template as the platform does, as far as it is used here."""
+
+    def section(match):
+        value = values.get(match[1])
+        return "" if value is None else match[2].replace("{{.}}", value)
+
+    text = SECTION.sub(section, TEMPLATE.read_text())
+    return PLACEHOLDER.sub(lambda match: values.get(match[1], ""), text)
+
+
+@pytest.fixture
+def read(tmp_path):
+    def read(text):
+        file = tmp_path / "settings.yaml"
+        file.write_text(text)
+        return read_entry_settings(file)
+
+    return read
+
+
+def test_the_deployed_template_gives_settings_that_check(read):
+    settings = read(rendered(PLATFORM)).unwrap()
+
+    assert settings.host == "edge-qld-a-1"
+    assert settings.callers == "10.1.0.14:8221"
+    assert settings.is_first_start
+    assert settings.bounds.key_removal_ms == 5000
+    assert settings.bounds.quota_slack == 190000
+
+
+def test_bounds_that_a_site_does_not_have_take_their_defaults(read):
+    values = {k: v for k, v in PLATFORM.items() if "quota" not in k}
+
+    assert read(rendered(values)).unwrap().bounds.quota_slack == 0
+
+
+def test_every_finding_is_reported_with_its_line_and_key(read):
+    text = rendered(PLATFORM).replace("metrics_port: 9464", "metrics_port: many")
+    text = text.replace("  lease_ms: 3000\n", "").replace("store:", "stor:")
+    text = text.replace("10.200.0.35:8225", "nowhere")
+
+    findings = read(text).unwrap_err()
+
+    keys = {finding.key for finding in findings}
+    assert {"metrics_port", "bounds.lease_ms", "store", "stor"} <= keys
+    assert all(finding.line > 0 and finding.file for finding in findings)
+
+
+def test_an_address_without_a_port_is_a_finding(read):
+    findings = read(rendered({**PLATFORM, "cloud.address": "nowhere"})).unwrap_err()
+
+    assert [finding.key for finding in findings] == ["cloud"]
