Spread a hot prefix to the same endpoints from every host

Cause: what the first endpoint of a prefix had no room for went to whichever was least loaded, another one from each host, and was read again there. Change: the next endpoints in the prefix's order are taken to hold it with a probability that halves with each. The provided engines are counted until traffic is seen, not once.

--- a/src/amaranthhollow/decisions/choice.py
+++ b/src/amaranthhollow/decisions/choice.py
@@ -34,6 +34,9 @@
 JITTER_SLOTS = 0.05
 FAILURE_WEIGHT = 0.3
 FAILURE_HALF_LIFE_SECONDS = 2.0
+# The next endpoints in a prefix's order hold it with a probability that falls by this
+# factor: all hosts send there what the first one has no room for.
+REPLICA_SHARE = 0.5
 PREFIXES_REMEMBERED = 512
 
 
@@ -155,19 +158,19 @@
             return min(by_id.values(), key=lambda e: self._slots_cost(e, now))
         order = list(ranked(prompt.prefix_key, by_id))
         costs = {
-            endpoint_id: self._token_cost(by_id[endpoint_id], prompt, rank == 0, now)
+            endpoint_id: self._token_cost(by_id[endpoint_id], prompt, rank, now)
             for rank, endpoint_id in enumerate(order)
         }
         return by_id[min(order, key=costs.__getitem__)]
 
     def _token_cost(
-        self, endpoint: Endpoint, prompt: PromptShape, is_first: bool, now: float
+        self, endpoint: Endpoint, prompt: PromptShape, rank: int, now: float
     ) -> float:
         """Return the tokens to be read before the request's first event."""
         load = self.load(endpoint.host)
         cost = float(load.pending_tokens + RUNNING_TOKENS * load.requests)
-        if not is_first and not self._holds(endpoint.host, prompt.prefix_key):
-            cost += prompt.shared_tokens
+        if not self._holds(endpoint.host, prompt.prefix_key):
+            cost += prompt.shared_tokens * (1 - REPLICA_SHARE**rank)
         if load.requests >= endpoint.listed.slots:
             cost += FULL_TOKENS
         if endpoint.listed.data_centre != self._data_centre:
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 import logbook
@@ -98,12 +99,23 @@
         if instant < seen_at + SETTLE_SECONDS:
             return
         demand = self._demand_by_service.get(service.name)
-        if demand is None:
-            centres = len(service.scaling.price_by_data_centre)
-            demand = DemandEstimate.provided(len(endpoints), centres, instant)
+        if demand is None or not demand.has_traffic:
+            provided = self._provided(service, endpoints, instant)
+            demand = max(provided, demand or provided, key=attrgetter("busy"))
         busy = busy_engines(chooser.load(endpoint.host) for endpoint in endpoints)
         self._demand_by_service[service.name] = demand.sampled(busy, instant)
 
+    def _provided(
+        self, service: Service, endpoints: list[Endpoint], instant: float
+    ) -> DemandEstimate:
+        """Return the estimate from the engines that the operator has provided.
+
+        Those that were ordered here are reclaimable; they count where no others are.
+        """
+        own = [e for e in endpoints if not e.listed.is_reclaimable] or endpoints
+        centres = len(service.scaling.price_by_data_centre)
+        return DemandEstimate.provided(len(own), centres, instant)
+
     async def _scale(self, service: Service) -> None:
         demand = self._demand_by_service.get(service.name)
         if demand is None:
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -46,6 +46,18 @@
     assert max(load.pending_tokens for load in loads.values()) < 60_000
 
 
+def test_hosts_spread_a_hot_prefix_to_the_same_endpoints(engines):
+    """What one host has no room for goes where the others' overflow has been read."""
+    second = set()
+    for seed in range(6):
+        chooser = EndpointChooser("dc-1", Random(seed))
+        first = chooser.choose(engines, HOT, (), 0.0)
+        chooser.learn("other-host", {first.host: SentLoad(4, 40_000)})
+        second.add(chooser.choose(engines, HOT, (), 0.0).host)
+
+    assert len(second) == 1
+
+
 def test_a_short_prompt_does_not_wait_behind_a_long_one(chooser, engines):
     short = PromptShape("short", 300, 700)
     first = chooser.choose(engines, short, (), 0.0)
