--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING
 
 import logbook
-import msgspec
-from result import Err
 
 from amaranthhollow.decisions.choice import SentLoad
 from amaranthhollow.decisions.duties import HolderSeen
@@ -16,6 +14,10 @@
 from amaranthhollow.decisions.gossip import select_peers
 from amaranthhollow.decisions.quota import HostCounts
 from amaranthhollow.decisions.usage import merged_counts
+from amaranthhollow.entry.peer_documents import (
+    CONFIGURATION_TARGET,
+    ENDPOINTS_TARGET,
+)
 from amaranthhollow.peers.datagrams import (
     RELEASED,
     Echo,
@@ -25,15 +27,13 @@
     decode_datagram,
     encode_datagram,
 )
-from amaranthhollow.serving.calls import Call, HttpCaller
 from amaranthhollow.serving.clock import now
-from amaranthhollow.state.site_state import EndpointSnapshot
 
 if TYPE_CHECKING:
     from amaranthhollow.entry.host import Host
-    from amaranthhollow.serving.exchange import Exchange
+    from amaranthhollow.entry.peer_documents import PeerDocuments
 
-__all__ = ["CONFIGURATION_TARGET", "ENDPOINTS_TARGET", "Peering"]
+__all__ = ["Peering"]
 
 PING_SECONDS = 0.25
 # Each host pings this many others a round, so that its traffic does not grow with
@@ -45,14 +45,10 @@
 KNOWN_SECONDS = 15.0
 # The counts of a process that ended are needed until its last window is reported.
 REPORT_RETENTION_SECONDS = 60.0
-FETCH_TIMEOUT_SECONDS = 0.7
 # Earlier windows do not change any more, and peers have heard of them many times.
 REPORTED_WINDOWS = 2
 LOST_TRY_ROUNDS = 8
 
-CONFIGURATION_TARGET = b"/configuration"
-ENDPOINTS_TARGET = b"/endpoints"
-
 log = logbook.Logger("peers")
 
 
@@ -67,18 +63,16 @@
 class Peering(asyncio.DatagramProtocol):
     """The exchanges of one host with its peers."""
 
-    def __init__(self, host: Host) -> None:
-        """Exchange on behalf of ``host``."""
+    def __init__(self, host: Host, documents: PeerDocuments) -> None:
+        """Exchange on behalf of ``host``; newer ``documents`` are fetched."""
         self._host = host
+        self._documents = documents
         self._port = host.settings.peer_ports.first
         self._transport: asyncio.DatagramTransport | None = None
         self._nonce = host.random.getrandbits(32)
         self._asked_by_nonce: dict[int, _Asked] = {}
         self._heard_at_by_host: dict[str, float] = {}
         self._heard_at_by_process: dict[str, float] = {}
-        self._callers_by_address: dict[str, HttpCaller] = {}
-        self._fetching: set[bytes] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
         self._round = 0
 
     async def start(self) -> None:
@@ -262,13 +256,13 @@
         if vouch.configuration_age >= 0:
             proof = vouched_proof(asked_at, vouch.configuration_age)
             if vouch.configuration_version > site.version:
-                self._fetch(name, CONFIGURATION_TARGET, vouch, proof.proven_at)
+                self._documents.fetch(name, CONFIGURATION_TARGET, proof.proven_at)
             site.vouch_configuration(vouch.configuration_version, proof)
         if vouch.endpoints_age >= 0:
             proof = vouched_proof(asked_at, vouch.endpoints_age)
             is_newer = vouch.endpoints_revision > site.snapshot.revision
             if is_newer and vouch.endpoints_fingerprint != site.fingerprint:
-                self._fetch(name, ENDPOINTS_TARGET, vouch, proof.proven_at)
+                self._documents.fetch(name, ENDPOINTS_TARGET, proof.proven_at)
             site.vouch_endpoints(vouch.endpoints_fingerprint, proof)
         if vouch.holder and vouch.holder != self._host.name:
             is_released = vouch.holder_seconds == RELEASED
@@ -276,54 +270,6 @@
             seen = HolderSeen(vouch.holder, vouch.fencing_token, lapses_at, is_released)
             self._host.duty = self._host.duty.heard_of(seen)
 
-    # Documents.
-
-    def _fetch(
-        self, name: str, target: bytes, vouch: Vouch, proven_at: float | None
-    ) -> None:
-        """Fetch a newer document from the peer that vouches for it."""
-        info = self._host.membership.info(name)
-        if info is None or target in self._fetching or proven_at is None:
-            return
-        self._fetching.add(target)
-        job = self._fetch_from(info.address, target, vouch, proven_at)
-        task = asyncio.create_task(job)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _fetch_from(
-        self, address: str, target: bytes, vouch: Vouch, proven_at: float
-    ) -> None:
-        caller = self._callers_by_address.get(address)
-        if caller is None:
-            caller = HttpCaller(address, self._port)
-            self._callers_by_address[address] = caller
-        answer = await caller.call(Call(b"GET", target), FETCH_TIMEOUT_SECONDS)
-        self._fetching.discard(target)
-        if isinstance(answer, Err) or answer.ok_value.status != 200:
-            return
-        body = answer.ok_value.body
-        if target == CONFIGURATION_TARGET:
-            self._host.site.apply_configuration(body, proven_at)
-            return
-        try:
-            snapshot = msgspec.msgpack.decode(body, type=EndpointSnapshot)
-        except msgspec.DecodeError as error:
-            log.warning("peer's endpoints unreadable", extra={"error": str(error)})
-            return
-        self._host.site.apply_endpoints(snapshot, proven_at, now())
-
-    async def serve_documents(self, exchange: Exchange) -> None:
-        """Answer a peer that fetches a document."""
-        site = self._host.site
-        match exchange.head.path:
-            case b"/configuration" if site.configuration is not None:
-                exchange.respond(200, [], site.configuration_value)
-            case b"/endpoints":
-                exchange.respond(200, [], msgspec.msgpack.encode(site.snapshot))
-            case _:
-                exchange.respond(404, [], b"")
-
 
 def reachable_seconds(peers: int) -> float:
     """Return after how long a peer that was not heard of is not counted on.
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -25,6 +25,7 @@
 BAD_REQUEST = 400
 UNAVAILABLE = 503
 SUCCESS = range(200, 300)
+ANSWERED = "answered"
 # The request would crash the endpoint again; operators have to look into it first.
 QUARANTINE_RETRY_SECONDS = 60.0
 # A client that comes back finds another host, or this one when it is done.
@@ -130,43 +131,53 @@
         admitted: Admitted,
         run: RequestLog,
     ) -> None:
-        instant = now()
         if exchange.is_finished and exchange.status in SUCCESS:
             self._host.crashes.succeeded(request)
-        metrics, route = self._host.metrics, admitted.route.name
-        status = exchange.status
-        if exchange.is_abandoned:
-            outcome = "abandoned"
-        elif exchange.is_finished:
-            outcome = "answered"
-        else:
-            outcome = "cut"
-        metrics.answers.labels(
-            route, status if outcome == "answered" else outcome
-        ).inc()
-        metrics.total.labels(route).observe(instant - request.arrived_at)
+        seconds = now() - request.arrived_at
         first_part = None
         if run.first_part_at is not None:
             first_part = run.first_part_at - request.arrived_at
-            metrics.first_part.labels(route).observe(first_part)
+        self._count(exchange, admitted, seconds, first_part)
         log.info(
             "forwarded",
             extra={
                 "request": request.request_id,
-                "route": route,
+                "route": admitted.route.name,
                 "service": admitted.service,
                 "workspace": admitted.workspace and admitted.workspace.name,
                 "version": admitted.version,
-                "outcome": outcome,
-                "status": status,
+                "outcome": _outcome(exchange),
+                "status": exchange.status,
                 "endpoints": run.endpoints,
                 "failures": run.failures,
                 "first_part": first_part and round(first_part, 3),
-                "seconds": round(instant - request.arrived_at, 3),
+                "seconds": round(seconds, 3),
                 "tokens": request.prompt_tokens + request.output_tokens,
             },
         )
 
+    def _count(
+        self,
+        exchange: Exchange,
+        admitted: Admitted,
+        seconds: float,
+        first_part: float | None,
+    ) -> None:
+        metrics, route = self._host.metrics, admitted.route.name
+        outcome = _outcome(exchange)
+        status = exchange.status if outcome == ANSWERED else outcome
+        metrics.answers.labels(route, status).inc()
+        metrics.total.labels(route).observe(seconds)
+        if first_part is not None:
+            metrics.first_part.labels(route).observe(first_part)
+
+
+def _outcome(exchange: Exchange) -> str:
+    """Say how an answer ended, for logs and metrics."""
+    if exchange.is_abandoned:
+        return "abandoned"
+    return ANSWERED if exchange.is_finished else "cut"
+
 
 def prompt_shape(request: CallerRequest) -> PromptShape | None:
     """Return what matters of the prompt for the choice of an endpoint."""
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -21,6 +21,7 @@
 from amaranthhollow.entry.duty_lease import DutyLease
 from amaranthhollow.entry.host import Host
 from amaranthhollow.entry.metrics import CONTENT_TYPE, Metrics
+from amaranthhollow.entry.peer_documents import PeerDocuments
 from amaranthhollow.entry.peering import Peering
 from amaranthhollow.entry.request_handler import RequestHandler, forwarding_policy
 from amaranthhollow.entry.scaling_duty import ScalingDuty
@@ -89,7 +90,8 @@
             host.random.random,
         )
         self._handler = RequestHandler(host, admission, self._forwarder)
-        self._peering = Peering(host)
+        documents = PeerDocuments(host)
+        self._peering = Peering(host, documents)
         address = settings.address
         self._callers = Listener(
             self._handler.handle, *_split_address(settings.callers), self._limits
@@ -98,9 +100,7 @@
             self._answer_readiness, *_split_address(settings.readiness)
         )
         self._metrics = Listener(self._answer_metrics, address, settings.metrics_port)
-        self._documents = Listener(
-            self._peering.serve_documents, address, settings.peer_ports.first
-        )
+        self._documents = Listener(documents.serve, address, settings.peer_ports.first)
         self._stop_requested = asyncio.Event()
         self._was_ready: bool | None = None
 
