Break off a stream whose resumption fails, in place of a second answer

Cause: a stream had begun at one endpoint and went on at another, which answered 500; that answer was sent with a head of its own into the chunked answer that had begun. Ruled out: bytes of the endpoints (the trace shows a whole 500 answer). Change: the answer that has begun is cut; an exchange refuses a second head. Test: a failure on resumption (seen failing first).

--- a/src/amaranthhollow/serving/exchange.py
+++ b/src/amaranthhollow/serving/exchange.py
@@ -49,7 +49,9 @@
         return self.status != 0
 
     def respond(self, status: int, headers: Iterable[Header], body: bytes) -> None:
-        """Send a whole answer."""
+        """Send a whole answer; one that has begun can only be ended or broken off."""
+        if self.has_started:
+            raise RuntimeError(f"answer {self.status} has begun, not sending {status}")
         length = (b"content-length", b"%d" % len(body))
         head = self._encode_head(status, [*headers, length])
         self._connection.write(head if self._is_head else head + body)
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -219,7 +219,14 @@
                 return Unknown(f"{endpoint.host} stopped in its answer")
 
     def _relay(self, facts: AnswerFacts, body: bytes) -> None:
-        """Send a whole answer on; a refusal that promises nothing stays one."""
+        """Send a whole answer on; a refusal that promises nothing stays one.
+
+        It cannot follow a stream that has begun at another endpoint: that is cut.
+        """
+        if self._exchange.has_started:
+            self._fail(f"answered {facts.head.status} on resumption")
+            self._exchange.abort()
+            return
         if facts.head.status in NOT_RUN_STATUSES and not facts.did_not_run:
             self._exchange.respond(BAD_GATEWAY, [], b"")
             return
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -364,3 +364,18 @@
     assert first.status == 502
     assert 200 in (second.status, third.status)
     assert 503 not in (second.status, third.status)
+
+
+async def test_a_failure_on_resumption_cuts_the_answer_that_has_begun(site, pair):
+    cut = stream(event(1), 0.05, "reset", ends=False)
+    for endpoint in site.endpoints.values():
+        endpoint.scripts.extend([cut, plain(status=500, body=b"failed")])
+        endpoint.usual = plain(status=500, body=b"failed")
+    site.endpoints["e2"].scripts.clear()
+    answers = [await site.ask(pair, "/stream/", f"r{n}") for n in range(4)]
+
+    begun = [answer for answer in answers if answer.status == 200]
+    assert begun
+    for answer in begun:
+        assert not answer.is_whole
+        assert b"HTTP/1.1" not in answer.body
