Keep the operators' slack on quotas for what hosts have not heard yet

A quarter of the slack was admitted as rate, so too little was left for restarts and for counts on their way. Change: quotas are enforced with the tenth that the operators tolerate; the slack is left.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -24,32 +24,25 @@
 FIRST_LEVEL = 0.5
 # Above this part of the burst, what other hosts admit within one exchange fits.
 SHARED_LEVEL = 0.5
-# The rest of the slack is for what hosts admit before they hear of each other.
-SPENT_SLACK = 0.25
 # How much of its own share a host may save up.
 SHARE_SECONDS = 0.5
 
 
 @dataclass(frozen=True)
 class QuotaTolerance:
-    """What the operators allow beyond a quota in each window.
+    """What the operators allow beyond a quota, as a part of it.
 
-    In ``window_seconds`` a workspace may get what its rate and burst come to, times
-    one more than ``over``, and ``slack`` besides; what is refused below that is lost
-    to its callers. Most of the slack is kept for what hosts admit before they hear
-    of each other.
+    What is refused below that is lost to its callers. What they allow besides in each
+    window is for what hosts admit before they hear of each other.
     """
 
-    window_seconds: float = 1.0
     over: float = 0.0
-    slack: float = 0.0
 
     def enforced(self, quota: Quota) -> Quota:
-        """Return the quota that keeps all hosts together within the tolerance."""
-        share = self.slack * SPENT_SLACK / self.window_seconds
+        """Return the quota that all hosts together keep to."""
         return replace(
             quota,
-            rate_per_second=quota.rate_per_second * (1 + self.over) + share,
+            rate_per_second=quota.rate_per_second * (1 + self.over),
             burst=quota.burst * (1 + self.over),
         )
 
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -222,7 +222,7 @@
         random=random,
         duty=DutyState(bounds.lease_ms / 1000),
         quotas=QuotaLimiter(
-            QuotaTolerance(bounds.quota_window, bounds.quota_over, bounds.quota_slack),
+            QuotaTolerance(bounds.quota_over),
             starts_empty=not settings.is_first_start,
         ),
     )
--- a/src/amaranthhollow/entry/settings.py
+++ b/src/amaranthhollow/entry/settings.py
@@ -36,9 +36,7 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window: float
-    quota_window: float = 1.0
     quota_over: float = 0.0
-    quota_slack: float = 0.0
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
--- a/tests/decisions/test_sharing.py
+++ b/tests/decisions/test_sharing.py
@@ -26,7 +26,7 @@
 OVER = 0.1
 
 
-TOLERANCE = QuotaTolerance(WINDOW_SECONDS, OVER, SLACK)
+TOLERANCE = QuotaTolerance(OVER)
 
 
 def admitted_in_windows(
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -32,9 +32,7 @@
     "bounds.budget_ratio": "0.2",
     "bounds.budget_slack": "56",
     "bounds.budget_window_s": "10",
-    "bounds.quota_window_s": "8",
     "bounds.quota_over": "0.1",
-    "bounds.quota_slack": "190000",
 }
 
 
@@ -66,13 +64,13 @@
     assert settings.callers == "10.1.0.14:8221"
     assert settings.is_first_start
     assert settings.bounds.key_removal_ms == 5000
-    assert settings.bounds.quota_slack == 190000
+    assert settings.bounds.quota_over == 0.1
 
 
 def test_bounds_that_a_site_does_not_have_take_their_defaults(read):
     values = {k: v for k, v in PLATFORM.items() if "quota" not in k}
 
-    assert read(rendered(values)).unwrap().bounds.quota_slack == 0
+    assert read(rendered(values)).unwrap().bounds.quota_over == 0
 
 
 def test_every_finding_is_reported_with_its_line_and_key(read):
