Let a daemon outlive SIGHUP

Cause: a daemon left SIGHUP at its default action. A process group whose last parent exits while one of its members is stopped gets SIGHUP from the kernel; the one daemon that a test had stopped ended by signal 1, without a drain. Who sent it in that run is not shown: no test sends SIGHUP.

Change: SIGHUP is logged and nothing else. The new test sends it to a stopped daemon: before, exit code -1 as in that run; after, the daemon logs it and ends by SIGTERM with 0.

--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -175,8 +175,13 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._drain_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._drain_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
         loop.add_signal_handler(signal.SIGUSR1, self._print_state)
 
+    def _note_hangup(self) -> None:
+        """Log SIGHUP, whose default action would end the daemon without a drain."""
+        log.info("SIGHUP: settings are read at the start only")
+
     def _print_state(self) -> None:
         dump = dump_state(self._node, self._streams)
         sys.stderr.write(dump.decode() + "\n")
--- a/tests/daemon/test_serving.py
+++ b/tests/daemon/test_serving.py
@@ -73,6 +73,21 @@
     assert answers == [(201, runs[0])] * 3
 
 
+async def test_hangup_does_not_end_a_daemon(pair):
+    """The kernel sends SIGHUP to a stopped process whose group loses its parent."""
+    process = pair.processes_by_name["entry-1"]
+    process.send(signal.SIGSTOP)
+    process.send(signal.SIGHUP)
+    process.send(signal.SIGCONT)
+    await pair.until(lambda: logged(process, "SIGHUP"), "the signal is logged")
+    process.send(signal.SIGTERM)
+    assert await asyncio.to_thread(process.wait) == 0
+
+
+async def logged(process, text):
+    return process.popen.poll() is not None or text in process.log.read_text()
+
+
 async def test_state_is_dumped_on_request_and_on_signal(pair):
     process = pair.processes_by_name["entry-1"]
     shown = await pair.tool("state", "entry-1")
