Choose endpoints of both interfaces by one chooser, and reread less

Change: the router is gone. Daemons gossip what they have at each endpoint; a shared part that is read again counts three times.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from amaranthhollow.decisions.choice import EndpointChooser, SentLoad, shape_of_text
 from amaranthhollow.decisions.endpoints import EndpointTable, ListedEndpoint, fact_of
 from amaranthhollow.decisions.gossip import LOAD_FACT, Fact, Version, choose_partners
 from amaranthhollow.decisions.limits import WorkspaceLimiter
@@ -19,7 +20,6 @@
     DaemonStatus,
     Membership,
 )
-from amaranthhollow.decisions.routing import LoadReport, Router, prefix_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -123,7 +123,7 @@
 
 def load_fact(number: int, requests: int, version: int) -> Fact:
     """Return a load report as a fact."""
-    value = msgspec.msgpack.encode(LoadReport(requests))
+    value = msgspec.msgpack.encode({f"engine-{number:04}": SentLoad(requests, 0)})
     return Fact(LOAD_FACT, f"engine-{number:04}", Version(version), value)
 
 
@@ -237,13 +237,14 @@
         table = EndpointTable()
         for number in range(count):
             table.apply(fact_of(endpoint(number)), 0.0)
-        router = Router()
+        chooser = EndpointChooser("dc-1", Random(1))
         rounds = 300
         started_at = time.process_time()
         for number in range(rounds):
             usable = table.usable("drafting", 1.0)
-            chosen = router.choose(usable, prefix_key("drafting", f"prompt {number}"))
-            router.started(chosen.host)
+            shape = shape_of_text("drafting", f"prompt {number}")
+            chosen = chooser.choose(usable, shape, (), 1.0)
+            chooser.started(chosen.host, shape)
         seconds = (time.process_time() - started_at) / rounds
         print(f"  {count:4} endpoints: {1e6 * seconds:.0f} us a choice")
     limiter = WorkspaceLimiter()
--- a/src/amaranthhollow/daemon/discovery.py
+++ b/src/amaranthhollow/daemon/discovery.py
@@ -1,4 +1,4 @@
-"""Learns of hosts and of load: reads the platform's list and polls engines."""
+"""Learns of hosts: reads the platform's list."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 import logbook
 import msgspec
-from result import Err, Ok
+from result import Ok
 
 from amaranthhollow.decisions.endpoints import EndpointStatus, ListedEndpoint
-from amaranthhollow.decisions.gossip import LOAD_FACT, Fact, Version
+from amaranthhollow.decisions.gossip import Fact, Version
 from amaranthhollow.decisions.membership import (
     RECLAIM_FACT,
     DaemonInfo,
@@ -18,28 +18,24 @@
     HostReclaim,
     list_interval,
 )
-from amaranthhollow.decisions.rendezvous import owner
-from amaranthhollow.decisions.routing import LoadReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from amaranthhollow.daemon.gossiping import Gossiping
     from amaranthhollow.daemon.node import Node
-    from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.state.host_list import HostEntry, HostListing
 
 __all__ = ["Discovery"]
 
 NOTICE_SECONDS = 0.25
 RECLAIM_RETENTION_SECONDS = 600.0
-LOAD_SECONDS = 0.5
 
 log = logbook.Logger("discovery")
 
 
 class Discovery:
-    """Feeds the platform's list and the engines' load into gossip."""
+    """Feeds the platform's list into gossip."""
 
     def __init__(
         self, node: Node, gossiping: Gossiping, on_reclaim: Callable[[float], None]
@@ -67,13 +63,6 @@
             await asyncio.sleep(NOTICE_SECONDS)
             self.check_own_host()
 
-    async def run_load(self) -> None:
-        """Poll the load of the engines that this daemon owns, until cancelled."""
-        while True:
-            await asyncio.sleep(LOAD_SECONDS)
-            owned = [e for e in self._node.endpoints.all() if self._polls(e)]
-            await asyncio.gather(*(self._poll(endpoint) for endpoint in owned))
-
     async def read_list(self) -> None:
         """Read the list once; without it, what is known stays in force."""
         listing = await self._node.host_list.read()
@@ -129,27 +118,6 @@
             if reclaim.leaves_at + RECLAIM_RETENTION_SECONDS <= node.now():
                 node.membership.table.remove(RECLAIM_FACT, fact.name)
 
-    def _polls(self, endpoint: Endpoint) -> bool:
-        node = self._node
-        deployment = node.configuration.deployments.get(endpoint.listed.deployment)
-        is_engine = deployment is not None and deployment.kind == "model"
-        is_running = endpoint.state != "gone"
-        if not (is_engine and is_running):
-            return False
-        return owner(endpoint.host, node.membership.active_hosts) == node.settings.host
-
-    async def _poll(self, endpoint: Endpoint) -> None:
-        node = self._node
-        load = await node.engines.load(endpoint.url)
-        if isinstance(load, Err):
-            return
-        known = node.membership.table.get(LOAD_FACT, endpoint.host)
-        value = msgspec.msgpack.encode(LoadReport(load.ok_value))
-        if known is not None and known.value == value:
-            return
-        version = Version(int(node.now() * 1000))
-        self._gossiping.publish([Fact(LOAD_FACT, endpoint.host, version, value)])
-
     def _note_availability(self, is_available: bool) -> None:
         if is_available is self._is_list_available:
             return
--- a/src/amaranthhollow/daemon/gossiping.py
+++ b/src/amaranthhollow/daemon/gossiping.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err
 
+from amaranthhollow.decisions.choice import SentLoad
 from amaranthhollow.decisions.configuration import CONFIGURATION_FACT, HeadEntry
 from amaranthhollow.decisions.endpoints import ENDPOINT_FACT
 from amaranthhollow.decisions.gossip import (
@@ -20,7 +21,6 @@
     select_peers,
 )
 from amaranthhollow.decisions.quarantine import CRASH_FACT, VERDICT_SECONDS
-from amaranthhollow.decisions.routing import LoadReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -35,6 +35,7 @@
 
 log = logbook.Logger("gossip")
 _decoder = msgspec.msgpack.Decoder(GossipMessage)
+_loads_decoder = msgspec.msgpack.Decoder(dict[str, SentLoad])
 
 
 class Gossiping:
@@ -57,16 +58,18 @@
     async def exchange_once(self) -> None:
         """Exchange with a few peers and expire suspicions."""
         node = self._node
+        self._publish_loads()
         members = node.membership
         peers = choose_partners(members.peers, members.lost_hosts, FANOUT, node.random)
         await asyncio.gather(*(self._exchange(peer) for peer in peers))
         for host in node.membership.expire(node.now()):
             node.counters.increment("members.lost")
             log.warning("daemon on {} is lost", host)
+            node.membership.table.remove(LOAD_FACT, host)
+            node.chooser.forget_host(host)
         for host in node.endpoints.expire(node.now()):
             node.membership.table.remove(ENDPOINT_FACT, host)
-            node.membership.table.remove(LOAD_FACT, host)
-            node.router.forget(host)
+        node.chooser.retain({endpoint.host for endpoint in node.endpoints.all()})
         for name in node.quarantine.expire(node.now()):
             node.membership.table.remove(CRASH_FACT, name)
 
@@ -102,8 +105,7 @@
                 case "crash":
                     self._apply_evidence(fact)
                 case "load":
-                    report = msgspec.msgpack.decode(fact.value, type=LoadReport)
-                    node.router.reported(fact.name, report.requests)
+                    node.chooser.learn(fact.name, _loads_decoder.decode(fact.value))
 
     def publish_revision(self, entry: HeadEntry) -> None:
         """Spread the newest accepted revision."""
@@ -111,6 +113,16 @@
         value = msgspec.json.encode(entry)
         self.publish([Fact(CONFIGURATION_FACT, "head", version, value)])
 
+    def _publish_loads(self) -> None:
+        """Tell how many requests this daemon has at each endpoint."""
+        node = self._node
+        host = node.settings.host
+        value = msgspec.msgpack.encode(node.chooser.own_loads())
+        known = node.membership.table.get(LOAD_FACT, host)
+        if known is None or known.value != value:
+            version = Version(int(node.now() * 1000))
+            node.membership.merge([Fact(LOAD_FACT, host, version, value)], node.now())
+
     async def _push(self) -> None:
         """Exchange at once with as many peers as may be asked together."""
         node = self._node
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -4,23 +4,26 @@
 
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from amaranthhollow.decisions.endpoints import EndpointTable
 from amaranthhollow.decisions.limits import FairShare, WorkspaceLimiter
 from amaranthhollow.decisions.quarantine import Quarantine, SuspectSlots
 from amaranthhollow.decisions.retries import RetryBudget
-from amaranthhollow.decisions.routing import Router
 from amaranthhollow.decisions.statechart import load_chart
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
     from random import Random
 
     from amaranthhollow.configuration.model import Configuration
     from amaranthhollow.daemon.counters import Counters
+    from amaranthhollow.decisions.choice import EndpointChooser, PromptShape
     from amaranthhollow.decisions.configuration import AppliedConfiguration
+    from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.decisions.membership import Membership
     from amaranthhollow.endpoints.engine import EngineClient
     from amaranthhollow.endpoints.service import ServiceClient
@@ -51,8 +54,8 @@
     links: PeerLinks
     random: Random
     applied: AppliedConfiguration
+    chooser: EndpointChooser
     endpoints: EndpointTable = field(default_factory=EndpointTable)
-    router: Router = field(default_factory=Router)
     limiter: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
     shares_by_deployment: dict[str, FairShare] = field(default_factory=dict)
     quarantine: Quarantine = field(default_factory=Quarantine)
@@ -86,6 +89,21 @@
         self.lifecycle = chart.advance(self.lifecycle, event)
         return True
 
+    def usable_endpoints(self, deployment: str) -> list[Endpoint]:
+        """Return the endpoints of a deployment, with the slots that it gives them."""
+        slots = self.configuration.slots_of(deployment)
+        return [
+            replace(e, listed=msgspec.structs.replace(e.listed, slots=slots))
+            for e in self.endpoints.usable(deployment, self.now())
+        ]
+
+    def choose(
+        self, deployment: str, prompt: PromptShape | None, tried: Collection[str]
+    ) -> Endpoint | None:
+        """Choose an endpoint of a deployment that is not in ``tried``, or None."""
+        usable = self.usable_endpoints(deployment)
+        return self.chooser.choose(usable, prompt, tried, self.now())
+
     def fair_share(self, deployment: str) -> FairShare:
         """Return how a deployment's slots are shared among workspaces."""
         return self.shares_by_deployment.setdefault(deployment, FairShare())
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -24,6 +24,7 @@
 from amaranthhollow.daemon.peer_handler import DaemonPeerHandler
 from amaranthhollow.daemon.state_dump import dump_state
 from amaranthhollow.daemon.stream_handover import hand_over_streams
+from amaranthhollow.decisions.choice import EndpointChooser
 from amaranthhollow.decisions.configuration import AppliedConfiguration
 from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
 from amaranthhollow.endpoints.engine import EngineClient
@@ -117,7 +118,6 @@
     def _jobs(self) -> list[Coroutine[None, None, None]]:
         return [
             self._discovery.run(),
-            self._discovery.run_load(),
             self._discovery.run_notice(),
             self._gossiping.run(),
             self._configuration.run(),
@@ -199,6 +199,7 @@
     membership = Membership(settings.host, incarnation, info)
     claim_store = ClaimStore(store, time.time)
     links = PeerLinks(settings.peer_port)
+    random = Random(f"{settings.host}-{incarnation}")
     return Node(
         settings=settings,
         incarnation=incarnation,
@@ -211,6 +212,7 @@
         store=store,
         host_list=HostListClient(session, str(settings.host_list)),
         links=links,
-        random=Random(f"{settings.host}-{incarnation}"),
+        random=random,
         applied=AppliedConfiguration(),
+        chooser=EndpointChooser(settings.data_centre, random),
     )
--- a/src/amaranthhollow/daemon/state_dump.py
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -67,7 +66,7 @@
             "leaves_at": endpoint.listed.leaves_at,
             "failures": endpoint.failures,
             "retry_at": endpoint.retry_at,
-            "load": asdict(node.router.load(endpoint.host)),
+            "load": msgspec.structs.asdict(node.chooser.load(endpoint.host)),
         }
         for endpoint in sorted(node.endpoints.all(), key=lambda e: e.host)
     }
--- a/src/amaranthhollow/decisions/choice.py
+++ b/src/amaranthhollow/decisions/choice.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from amaranthhollow.decisions.rendezvous import ranked
 
 if TYPE_CHECKING:
@@ -18,7 +20,7 @@
 
     from amaranthhollow.decisions.endpoints import Endpoint
 
-__all__ = ["EndpointChooser", "PromptShape", "SentLoad"]
+__all__ = ["EndpointChooser", "PromptShape", "SentLoad", "shape_of_text"]
 
 # What a running request delays others by, in tokens to read: one token of its answer
 # takes as long in a batch as reading this many tokens.
@@ -37,11 +39,17 @@
 # The next endpoints in a prefix's order hold it with a probability that falls by this
 # factor: all hosts send there what the first one has no room for.
 REPLICA_SHARE = 0.5
+# A shared part that is read again delays other prompts and drives other parts from
+# the engine's memory, so it counts for several times its tokens (benchmarks.routing).
+REREAD_WEIGHT = 3.0
 PREFIXES_REMEMBERED = 512
+# Of a prompt that comes as text: a token of English has about four characters, and
+# what follows this many of them is taken for the request's own.
+CHARACTERS_PER_TOKEN = 4
+MAX_PREFIX_CHARACTERS = 2048
 
 
-@dataclass(frozen=True)
-class SentLoad:
+class SentLoad(msgspec.Struct, frozen=True, array_like=True):
     """Requests at an endpoint, and prompt tokens that have brought no event yet."""
 
     requests: int = 0
@@ -170,7 +178,8 @@
         load = self.load(endpoint.host)
         cost = float(load.pending_tokens + RUNNING_TOKENS * load.requests)
         if not self._holds(endpoint.host, prompt.prefix_key):
-            cost += prompt.shared_tokens * (1 - REPLICA_SHARE**rank)
+            reread = prompt.shared_tokens * (1 - REPLICA_SHARE**rank)
+            cost += REREAD_WEIGHT * reread
         if load.requests >= endpoint.listed.slots:
             cost += FULL_TOKENS
         if endpoint.listed.data_centre != self._data_centre:
@@ -197,8 +206,7 @@
 
     def _add(self, endpoint_id: str, requests: int, tokens: int) -> None:
         load = self._own_by_endpoint.get(endpoint_id, NO_LOAD)
-        changed = replace(
-            load,
+        changed = SentLoad(
             requests=max(0, load.requests + requests),
             pending_tokens=max(0, load.pending_tokens + tokens),
         )
@@ -226,3 +234,18 @@
         prefixes.move_to_end(prefix_key)
         if len(prefixes) > PREFIXES_REMEMBERED:
             prefixes.popitem(last=False)
+
+
+def shape_of_text(deployment: str, prompt: str) -> PromptShape:
+    """Return the shape of a prompt whose shared parts are not declared.
+
+    The length of the prefix is a power of two, so that the key of a conversation
+    changes seldom as it grows, and prompts that share a short opening still differ.
+    """
+    length = min(len(prompt), MAX_PREFIX_CHARACTERS)
+    length = 1 << max(0, length.bit_length() - 1)
+    return PromptShape(
+        prefix_key=f"{deployment}\0{prompt[:length]}",
+        shared_tokens=length // CHARACTERS_PER_TOKEN,
+        own_tokens=1 + max(0, len(prompt) - length) // CHARACTERS_PER_TOKEN,
+    )
--- a/src/amaranthhollow/endpoints/engine.py
+++ b/src/amaranthhollow/endpoints/engine.py
@@ -1,4 +1,4 @@
-"""Client of model engines: streams of tokens, load, and moves of KV cache."""
+"""Client of model engines: streams of tokens, orders, and moves of KV cache."""
 
 from __future__ import annotations
 
@@ -139,18 +139,6 @@
             message = f"the endpoint sent no valid event: {error}"
             raise AttemptFailed(AttemptFailure.ENDPOINT_ERROR, message) from error
 
-    async def load(self, url: str) -> Result[int, str]:
-        """Return how many requests an engine last reported, running and waiting."""
-        try:
-            async with (
-                asyncio.timeout(REPORT_TIMEOUT_SECONDS),
-                self._session.get(f"{url}/load") as response,
-            ):
-                body = await response.json()
-                return Ok(int(body["running"]) + int(body["waiting"]))
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError) as e:
-            return Err(str(e) or type(e).__name__)
-
     async def wanted(self, url: str) -> Result[Wanted | None, str]:
         """Return what an engine was last ordered to serve, if anything."""
         try:
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -8,7 +8,6 @@
 
 import logbook
 
-from amaranthhollow.decisions.choice import SentLoad
 from amaranthhollow.decisions.duties import HolderSeen
 from amaranthhollow.decisions.freshness import vouched_proof
 from amaranthhollow.decisions.gossip import select_peers
@@ -183,12 +182,8 @@
 
     def _report(self) -> HostReport:
         host = self._host
-        loads = {
-            endpoint: (load.requests, load.pending_tokens)
-            for endpoint, load in host.chooser.own_loads().items()
-        }
         usage = host.usage.report(REPORTED_WINDOWS)
-        return HostReport(usage, host.quotas.spent(), loads)
+        return HostReport(usage, host.quotas.spent(), host.chooser.own_loads())
 
     def _merge(self, message: Ping | Echo) -> object:
         membership = self._host.membership
@@ -235,8 +230,7 @@
         self._heard_at_by_host[name] = now()
         process = f"{name}@{incarnation}"
         self._heard_at_by_process[process] = now()
-        loads = {e: SentLoad(*load) for e, load in report.loads.items()}
-        host.chooser.learn(name, loads)
+        host.chooser.learn(name, report.loads)
         host.quotas.learn(process, report.spent)
         known = host.usage_by_process.get(process, {})
         host.usage_by_process[process] = merged_counts(known, report.usage)
--- a/src/amaranthhollow/gateway/admission.py
+++ b/src/amaranthhollow/gateway/admission.py
@@ -48,10 +48,10 @@
 
 
 def _capacity(node: Node, deployment: str, daemons: int) -> Capacity:
-    usable = node.endpoints.usable(deployment, node.now())
+    usable = node.usable_endpoints(deployment)
     return Capacity(
-        slots=len(usable) * node.configuration.slots_of(deployment),
-        reported=sum(node.router.load(e.host).estimate for e in usable),
+        slots=sum(endpoint.listed.slots for endpoint in usable),
+        reported=sum(node.chooser.load(e.host).requests for e in usable),
         daemons=daemons,
     )
 
--- a/src/amaranthhollow/gateway/service_calls.py
+++ b/src/amaranthhollow/gateway/service_calls.py
@@ -146,11 +146,7 @@
     lifecycle: RequestLifecycle,
 ) -> Result[ServiceAnswer, AttemptFailure] | None:
     """Call one endpoint not tried before; None if there is none."""
-    usable = node.endpoints.usable(request.deployment, node.now())
-    fresh = [endpoint for endpoint in usable if endpoint.host not in tried]
-    key = f"{request.workspace}\0{request.call.path}"
-    slots = node.configuration.slots_of(request.deployment)
-    endpoint = node.router.choose(fresh, key, slots=slots)
+    endpoint = node.choose(request.deployment, None, tried)
     if endpoint is None:
         return None
     tried.add(endpoint.host)
@@ -165,16 +161,18 @@
     node: Node, request: ServiceRequest, endpoint: Endpoint
 ) -> Result[ServiceAnswer, AttemptFailure]:
     """Call an endpoint and note what that says about it."""
-    node.router.started(endpoint.host)
+    node.chooser.started(endpoint.host, None)
     try:
         result = await node.services.call(endpoint.url, request.call, node.now())
     finally:
-        node.router.ended(endpoint.host)
+        node.chooser.ended(endpoint.host)
     if isinstance(result, Ok):
         node.endpoints.succeeded(endpoint.host)
+        node.chooser.succeeded(endpoint.host, node.now())
         return result
     node.counters.increment(f"attempts.{result.err_value.name.lower()}")
     node.endpoints.failed(endpoint.host, node.now())
+    node.chooser.failed(endpoint.host, node.now())
     if result.err_value is AttemptFailure.CONNECTION_LOST:
         note_loss(node, endpoint, _digest(request))
     return result
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from amaranthhollow.decisions.choice import SentLoad
 from amaranthhollow.decisions.gossip import GossipMessage
 
 __all__ = [
@@ -29,7 +30,7 @@
 
     usage: dict[int, dict[str, int]]
     spent: dict[str, float]
-    loads: dict[str, tuple[int, int]]
+    loads: dict[str, SentLoad]
 
 
 class Vouch(msgspec.Struct, frozen=True, array_like=True):
