Share the own interface's retry budgets and quotas with the entry hosts

The own one refilled a token bucket per daemon and knew no deployments; the own limiter let each daemon spend its share only.

Change: RepeatBudget and QuotaLimiter serve both. A deployment has its own budget, shared by the daemons that are alive; a workspace's rate is a quota of requests, of which a daemon spends its share, since daemons of the own interface do not tell each other their counts.

Ruled out: gossip of the counts. Nothing of the own interface's promises needs more than the share.

The tests keep their bounds: 10 to 11 of 40 admitted at once, at most a tenth and 20 retries of 1,000.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,13 +13,14 @@
 from amaranthhollow.decisions.choice import EndpointChooser, SentLoad, shape_of_text
 from amaranthhollow.decisions.endpoints import EndpointTable, ListedEndpoint, fact_of
 from amaranthhollow.decisions.gossip import LOAD_FACT, Fact, Version, choose_partners
-from amaranthhollow.decisions.limits import WorkspaceLimiter
 from amaranthhollow.decisions.membership import (
     DAEMON_FACT,
     DaemonInfo,
     DaemonStatus,
     Membership,
 )
+from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
+from amaranthhollow.decisions.site import Quota
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -247,10 +248,10 @@
             chooser.started(chosen.host, shape)
         seconds = (time.process_time() - started_at) / rounds
         print(f"  {count:4} endpoints: {1e6 * seconds:.0f} us a choice")
-    limiter = WorkspaceLimiter()
+    limiter, quota = QuotaLimiter(), Quota.of_requests(1000.0)
     started_at = time.process_time()
     for number in range(10_000):
-        limiter.admit(f"w{number % 50}", 1000.0, number / 1000)
+        limiter.admit(f"w{number % 50}", quota, 1.0, HostCounts(), number / 1000)
     seconds = (time.process_time() - started_at) / 10_000
     print(f"  limits: {1e6 * seconds:.1f} us a request")
 
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -10,9 +10,10 @@
 import msgspec
 
 from amaranthhollow.decisions.endpoints import EndpointTable
-from amaranthhollow.decisions.limits import FairShare, WorkspaceLimiter
+from amaranthhollow.decisions.limits import FairShare
 from amaranthhollow.decisions.quarantine import Quarantine, SuspectSlots
-from amaranthhollow.decisions.retries import RetryBudget
+from amaranthhollow.decisions.quota import QuotaLimiter
+from amaranthhollow.decisions.retries import RepeatBudget
 from amaranthhollow.decisions.statechart import load_chart
 
 if TYPE_CHECKING:
@@ -36,6 +37,12 @@
 
 __all__ = ["Node"]
 
+# Retries of all daemons in a window, for each request and besides: what the platform
+# allows on today's sites (system page, bounds), less half for callers' own retries.
+RETRY_RATIO = 0.1
+RETRY_SLACK = 50.0
+RETRY_WINDOW_SECONDS = 10.0
+
 
 @dataclass
 class Node:
@@ -56,11 +63,11 @@
     applied: AppliedConfiguration
     chooser: EndpointChooser
     endpoints: EndpointTable = field(default_factory=EndpointTable)
-    limiter: WorkspaceLimiter = field(default_factory=WorkspaceLimiter)
+    quotas: QuotaLimiter = field(default_factory=QuotaLimiter)
     shares_by_deployment: dict[str, FairShare] = field(default_factory=dict)
     quarantine: Quarantine = field(default_factory=Quarantine)
     suspect_slots: SuspectSlots = field(default_factory=SuspectSlots)
-    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    budgets_by_deployment: dict[str, RepeatBudget] = field(default_factory=dict)
     settle_losses: Callable[[], None] = lambda: None
     lifecycle: str = load_chart("daemon").initial
     open_requests: int = 0
@@ -77,6 +84,11 @@
         """Tell whether the balancer should send callers here."""
         return self.lifecycle == "ready"
 
+    @property
+    def host_count(self) -> int:
+        """How many daemons share the budgets and quotas."""
+        return max(1, len(self.membership.active_hosts))
+
     def now(self) -> float:
         """Return the instant in seconds since the Unix epoch."""
         return time.time()
@@ -118,12 +130,16 @@
         spread = self.random.uniform(0, max(1.0, delay_seconds))
         return max(1, round(delay_seconds + spread))
 
-    def may_retry(self) -> bool:
-        """Take one retry from the budget, if there is room."""
-        remaining = self.retry_budget.spent()
-        if remaining is None:
-            self.counters.increment("retries.refused")
-            return False
-        self.retry_budget = remaining
-        self.counters.increment("retries.sent")
-        return True
+    def retry_budget(self, deployment: str) -> RepeatBudget:
+        """Return the budget of repeated sends to a deployment."""
+        return self.budgets_by_deployment.setdefault(
+            deployment,
+            RepeatBudget(RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS),
+        )
+
+    def may_retry(self, deployment: str) -> bool:
+        """Take one retry from a deployment's budget, if there is room."""
+        budget = self.retry_budget(deployment)
+        may_retry = budget.take(self.host_count, self.now())
+        self.counters.increment("retries.sent" if may_retry else "retries.refused")
+        return may_retry
--- a/src/amaranthhollow/daemon/state_dump.py
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -47,7 +47,10 @@
         "quarantined": [d.hex() for d in node.quarantine.quarantined(node.now())],
         "streams": len(streams),
         "facts": len(node.membership.table),
-        "retry_budget": node.retry_budget.tokens,
+        "retries_left_by_deployment": {
+            name: node.retry_budget(name).room(node.host_count, node.now())
+            for name in sorted(node.configuration.deployments)
+        },
         "store_calls_by_kind": dict(node.store.calls_by_kind),
         "counters_by_name": node.counters.totals(),
     }
--- a/src/amaranthhollow/decisions/limits.py
+++ b/src/amaranthhollow/decisions/limits.py
@@ -1,9 +1,4 @@
-"""Admits or refuses requests by workspace, with no message per request.
-
-Each daemon enforces its share of a workspace's budget. The limiter stores one
-instant per workspace, the theoretical arrival time of the generic cell rate
-algorithm, in place of a bucket level that has to be refilled.
-"""
+"""Shares the slots of a busy deployment among workspaces, with no message."""
 
 from __future__ import annotations
 
@@ -14,9 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["Admit", "Capacity", "FairShare", "Refuse", "WorkspaceLimiter"]
+__all__ = ["Admit", "Capacity", "FairShare", "Refuse"]
 
-BURST_SECONDS = 1.0
 BUSY_SHARE = 0.85
 BURST_FACTOR = 2.0
 BUSY_RETRY_SECONDS = 2.0
@@ -35,24 +29,6 @@
     retry_at: float
 
 
-class WorkspaceLimiter:
-    """Request rates of the workspaces at one daemon."""
-
-    def __init__(self) -> None:
-        """Start with every budget unused."""
-        self._arrival_at_by_workspace: dict[str, float] = {}
-
-    def admit(self, workspace: str, rate: float, now: float) -> Admit | Refuse:
-        """Decide on a request at ``now`` against ``rate`` requests a second."""
-        interval = 1.0 / rate
-        tolerance = max(BURST_SECONDS, interval)
-        arrival_at = max(self._arrival_at_by_workspace.get(workspace, 0.0), now)
-        if arrival_at + interval > now + tolerance + interval / 2:
-            return Refuse(retry_at=arrival_at + interval - tolerance)
-        self._arrival_at_by_workspace[workspace] = arrival_at + interval
-        return Admit()
-
-
 @dataclass(frozen=True)
 class Capacity:
     """What the endpoints of a deployment can run, and what they report to run.
--- a/src/amaranthhollow/decisions/retries.py
+++ b/src/amaranthhollow/decisions/retries.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["AttemptFailure", "Outcome", "RepeatBudget", "RetryBudget"]
+__all__ = ["AttemptFailure", "Outcome", "RepeatBudget"]
 
-BUDGET_RATIO = 0.1
-BUDGET_FLOOR = 20.0
-BUDGET_CEILING = 100.0
 # Room for requests of one host that are counted in another window than its own.
 SHARE_MARGIN = 0.8
 
@@ -32,29 +28,6 @@
     TIMED_OUT = "timed out"
 
 
-@dataclass(frozen=True)
-class RetryBudget:
-    """Bounds retries to a share of the requests, whichever layer asks for them.
-
-    Example::
-
-        budget = RetryBudget().earned()
-        retried = budget.spent()  # None once the budget is used up
-    """
-
-    tokens: float = BUDGET_FLOOR
-
-    def earned(self) -> RetryBudget:
-        """Return the budget after one more request."""
-        return RetryBudget(min(BUDGET_CEILING, self.tokens + BUDGET_RATIO))
-
-    def spent(self) -> RetryBudget | None:
-        """Return the budget after one more retry, or None if it has no room."""
-        if self.tokens < 1.0:
-            return None
-        return RetryBudget(self.tokens - 1.0)
-
-
 class RepeatBudget:
     """Bounds the repeats of one service over all hosts, by this host's part of them.
 
@@ -77,11 +50,15 @@
         self._requests.append(now)
         self._expire(now)
 
-    def take(self, hosts: int, now: float) -> bool:
-        """Take one repeat, with ``hosts`` sharing the slack, if there is room."""
+    def room(self, hosts: int, now: float) -> float:
+        """Return how many repeats may be sent now, with ``hosts`` sharing the slack."""
         self._expire(now)
         allowed = self._ratio * len(self._requests) + self._slack / max(1, hosts)
-        if len(self._repeats) + 1 > allowed:
+        return allowed - len(self._repeats)
+
+    def take(self, hosts: int, now: float) -> bool:
+        """Take one repeat, with ``hosts`` sharing the slack, if there is room."""
+        if self.room(hosts, now) < 1:
             return False
         self._repeats.append(now)
         return True
--- a/src/amaranthhollow/decisions/site.py
+++ b/src/amaranthhollow/decisions/site.py
@@ -117,6 +117,11 @@
     counts_tokens: bool
     plain_tokens: int
 
+    @classmethod
+    def of_requests(cls, rate_per_second: float) -> Quota:
+        """Return a quota of requests that lets a second's worth come at once."""
+        return cls(rate_per_second, rate_per_second, False, 0)
+
 
 @dataclass(frozen=True)
 class SiteWorkspace:
--- a/src/amaranthhollow/gateway/admission.py
+++ b/src/amaranthhollow/gateway/admission.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from amaranthhollow.decisions.limits import Capacity, Refuse
+from amaranthhollow.decisions.quota import HostCounts
 from amaranthhollow.decisions.retries import Outcome
+from amaranthhollow.decisions.site import Quota
 from amaranthhollow.gateway.problems import Problem, ProblemError
 
 if TYPE_CHECKING:
@@ -25,9 +27,9 @@
     in force by now. A refusal ends the lifecycle and is raised as a ProblemError.
     """
     workspace = configuration.workspaces[lifecycle.workspace]
-    daemons = max(1, len(node.membership.active_hosts))
-    rate = workspace.requests_per_second / daemons
-    decision = node.limiter.admit(lifecycle.workspace, rate, node.now())
+    quota = Quota.of_requests(workspace.requests_per_second)
+    hosts = HostCounts(known=node.host_count)
+    decision = node.quotas.admit(lifecycle.workspace, quota, 1.0, hosts, node.now())
     if isinstance(decision, Refuse):
         node.counters.increment("requests.refused_by_limit")
         detail = f"The workspace {lifecycle.workspace!r} sends more than its rate."
@@ -35,7 +37,7 @@
     decision = node.fair_share(lifecycle.deployment).admit(
         lifecycle.workspace,
         {name: w.weight for name, w in configuration.workspaces.items()},
-        _capacity(node, lifecycle.deployment, daemons),
+        _capacity(node, lifecycle.deployment),
         node.now(),
     )
     if isinstance(decision, Refuse):
@@ -44,15 +46,15 @@
         raise _refused(node, lifecycle, decision, 503, "busy", detail)
     lifecycle.advance("admit")
     node.counters.increment("requests.admitted")
-    node.retry_budget = node.retry_budget.earned()
+    node.retry_budget(lifecycle.deployment).requested(node.now())
 
 
-def _capacity(node: Node, deployment: str, daemons: int) -> Capacity:
+def _capacity(node: Node, deployment: str) -> Capacity:
     usable = node.usable_endpoints(deployment)
     return Capacity(
         slots=sum(endpoint.listed.slots for endpoint in usable),
         reported=sum(node.chooser.load(e.host).requests for e in usable),
-        daemons=daemons,
+        daemons=node.host_count,
     )
 
 
--- a/tests/decisions/test_policies.py
+++ b/tests/decisions/test_policies.py
@@ -15,7 +15,6 @@
     Capacity,
     FairShare,
     Refuse,
-    WorkspaceLimiter,
 )
 from amaranthhollow.decisions.quarantine import (
     SETTLE_SECONDS,
@@ -23,6 +22,7 @@
     Quarantine,
     SuspectSlots,
 )
+from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.recovery import (
     LetFinish,
     MoveCache,
@@ -30,7 +30,8 @@
     RunningStream,
     plan_departure,
 )
-from amaranthhollow.decisions.retries import RetryBudget
+from amaranthhollow.decisions.retries import RepeatBudget
+from amaranthhollow.decisions.site import Quota
 
 pytestmark = pytest.mark.invariant
 
@@ -78,25 +79,23 @@
 
 
 def test_budget_is_enforced_and_refusal_says_when():
-    limiter = WorkspaceLimiter()
-    decisions = [limiter.admit("w", 10.0, now=100.0) for _ in range(40)]
+    limiter, quota, hosts = QuotaLimiter(), Quota.of_requests(10.0), HostCounts()
+    limiter.admit("w", quota, 1.0, hosts, 0.0)
+    decisions = [limiter.admit("w", quota, 1.0, hosts, 100.0) for _ in range(40)]
     admitted = sum(isinstance(decision, Admit) for decision in decisions)
     assert 10 <= admitted <= 11
     refusal = decisions[-1]
     assert isinstance(refusal, Refuse)
-    assert isinstance(limiter.admit("w", 10.0, refusal.retry_at), Admit)
+    assert isinstance(limiter.admit("w", quota, 1.0, hosts, refusal.retry_at), Admit)
 
 
 def test_retry_budget_bounds_amplification():
-    budget = RetryBudget()
+    budget = RepeatBudget(ratio=0.1, slack=20.0, window_seconds=10.0)
     retries = 0
     for _ in range(1000):
-        budget = budget.earned()
-        spent = budget.spent()
-        if spent is not None:
-            retries += 1
-            budget = spent
-    assert retries <= 0.1 * 1000 + 20
+        budget.requested(1.0)
+        retries += budget.take(1, 1.0)
+    assert 0 < retries <= 0.1 * 1000 + 20
 
 
 def test_stream_that_ends_in_time_is_left_alone():
