Give each shared part of a prompt a home among the endpoints

Cause: a prompt's home was that of its last shared part, a session.

Change: the expected tokens to read again are summed over a prompt's shared parts, each with its own order of endpoints. Prompt types have a module.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from amaranthhollow.decisions.choice import EndpointChooser, SentLoad, shape_of_text
+from amaranthhollow.decisions.choice import EndpointChooser, SentLoad
 from amaranthhollow.decisions.endpoints import EndpointTable, ListedEndpoint, fact_of
 from amaranthhollow.decisions.gossip import LOAD_FACT, Fact, Version, choose_partners
 from amaranthhollow.decisions.membership import (
@@ -19,6 +19,7 @@
     DaemonStatus,
     Membership,
 )
+from amaranthhollow.decisions.prompts import shape_of_text
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.site import Quota
 
--- a/benchmarks/entry_capacity.py
+++ b/benchmarks/entry_capacity.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from amaranthhollow.decisions.choice import EndpointChooser, PromptShape, SentLoad
+from amaranthhollow.decisions.choice import EndpointChooser, SentLoad
 from amaranthhollow.decisions.endpoints import Endpoint, ListedEndpoint
 from amaranthhollow.decisions.gossip import GossipMessage
+from amaranthhollow.decisions.prompts import PromptPart, PromptShape
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.site import Quota
 from amaranthhollow.peers.datagrams import (
@@ -65,7 +66,8 @@
     for host in range(HOSTS):
         loads = {e.host: SentLoad(2, 500) for e in engines[:OPEN_REQUESTS_AT]}
         chooser.learn(f"host-{host}", loads)
-    prompt = PromptShape("a1b2", 13_000, 3_000)
+    parts = (PromptPart("a1b2", 10_000), PromptPart("c3d4", 3_000))
+    prompt = PromptShape(parts, 3_000)
     return microseconds(lambda: chooser.choose(engines, prompt, (), 1.0))
 
 
--- a/benchmarks/serving.py
+++ b/benchmarks/serving.py
@@ -14,8 +14,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from amaranthhollow.decisions.choice import EndpointChooser, PromptShape
+from amaranthhollow.decisions.choice import EndpointChooser
 from amaranthhollow.decisions.endpoints import ListedEndpoint
+from amaranthhollow.decisions.prompts import PromptPart, PromptShape
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -192,7 +193,8 @@
 
 
 def _shape(job: Job) -> PromptShape:
-    return PromptShape(job.prefix, job.prefix_tokens, job.suffix_tokens)
+    part = PromptPart(job.prefix, job.prefix_tokens)
+    return PromptShape((part,), job.suffix_tokens)
 
 
 @dataclass
--- a/src/amaranthhollow/daemon/node.py
+++ b/src/amaranthhollow/daemon/node.py
@@ -22,10 +22,11 @@
 
     from amaranthhollow.configuration.model import Configuration
     from amaranthhollow.daemon.counters import Counters
-    from amaranthhollow.decisions.choice import EndpointChooser, PromptShape
+    from amaranthhollow.decisions.choice import EndpointChooser
     from amaranthhollow.decisions.configuration import AppliedConfiguration
     from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.decisions.membership import Membership
+    from amaranthhollow.decisions.prompts import PromptShape
     from amaranthhollow.endpoints.engine import EngineClient
     from amaranthhollow.endpoints.service import ServiceClient
     from amaranthhollow.peers.links import PeerLinks
--- a/src/amaranthhollow/decisions/choice.py
+++ b/src/amaranthhollow/decisions/choice.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,12 +16,13 @@
 from amaranthhollow.decisions.rendezvous import ranked
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Iterable, Mapping
     from random import Random
 
     from amaranthhollow.decisions.endpoints import Endpoint
+    from amaranthhollow.decisions.prompts import PromptPart, PromptShape
 
-__all__ = ["EndpointChooser", "PromptShape", "SentLoad", "shape_of_text"]
+__all__ = ["EndpointChooser", "SentLoad"]
 
 # What a running request delays others by, in tokens to read: one token of its answer
 # takes as long in a batch as reading this many tokens.
@@ -33,20 +35,20 @@
 # Bytes between data centres are dear, a queue is dearer.
 OTHER_DATA_CENTRE_SLOTS = 0.2
 OTHER_DATA_CENTRE_TOKENS = 300
+# Hosts that know nothing that tells endpoints apart do not all choose the same.
 JITTER_SLOTS = 0.05
+JITTER_TOKENS = 50
 FAILURE_WEIGHT = 0.3
 FAILURE_HALF_LIFE_SECONDS = 2.0
-# The next endpoints in a prefix's order hold it with a probability that falls by this
+# The next endpoints in a part's order hold it with a probability that falls by this
 # factor: all hosts send there what the first one has no room for.
 REPLICA_SHARE = 0.5
+# Further down the order the probability is too small to matter.
+REPLICA_RANKS = 6
 # A shared part that is read again delays other prompts and drives other parts from
 # the engine's memory, so it counts for several times its tokens (benchmarks.routing).
 REREAD_WEIGHT = 3.0
-PREFIXES_REMEMBERED = 512
-# Of a prompt that comes as text: a token of English has about four characters, and
-# what follows this many of them is taken for the request's own.
-CHARACTERS_PER_TOKEN = 4
-MAX_PREFIX_CHARACTERS = 2048
+PARTS_REMEMBERED = 1024
 
 
 class SentLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -63,15 +65,6 @@
         )
 
 
-@dataclass(frozen=True)
-class PromptShape:
-    """What matters of a prompt: the key of its shared parts, and its sizes."""
-
-    prefix_key: str
-    shared_tokens: int
-    own_tokens: int
-
-
 @dataclass(frozen=True)
 class _FailureRate:
     rate: float = 0.0
@@ -96,16 +89,19 @@
         self._loads_by_host: dict[str, Mapping[str, SentLoad]] = {}
         self._others_by_endpoint: dict[str, SentLoad] = {}
         self._failures_by_endpoint: dict[str, _FailureRate] = {}
-        self._prefixes_by_endpoint: dict[str, OrderedDict[str, None]] = {}
+        self._parts_by_endpoint: dict[str, OrderedDict[str, None]] = {}
 
     def started(self, endpoint_id: str, prompt: PromptShape | None) -> int:
         """Count a request that is sent; returns its pending tokens."""
         pending = 0
         if prompt is not None:
-            pending = prompt.own_tokens
-            if not self._holds(endpoint_id, prompt.prefix_key):
-                pending += prompt.shared_tokens
-            self._remember(endpoint_id, prompt.prefix_key)
+            pending = prompt.own_tokens + sum(
+                part.tokens
+                for part in prompt.shared
+                if not self._holds(endpoint_id, part)
+            )
+            for part in prompt.shared:
+                self._remember(endpoint_id, part)
         self._add(endpoint_id, 1, pending)
         return pending
 
@@ -141,7 +137,7 @@
 
     def retain(self, endpoint_ids: Collection[str]) -> None:
         """Forget all other endpoints."""
-        for table in (self._failures_by_endpoint, self._prefixes_by_endpoint):
+        for table in (self._failures_by_endpoint, self._parts_by_endpoint):
             for endpoint_id in [e for e in table if e not in endpoint_ids]:
                 del table[endpoint_id]
 
@@ -164,22 +160,34 @@
             return None
         if prompt is None:
             return min(by_id.values(), key=lambda e: self._slots_cost(e, now))
-        order = list(ranked(prompt.prefix_key, by_id))
         costs = {
-            endpoint_id: self._token_cost(by_id[endpoint_id], prompt, rank, now)
-            for rank, endpoint_id in enumerate(order)
+            endpoint_id: self._token_cost(by_id[endpoint_id], reread, now)
+            for endpoint_id, reread in self._reread_tokens(prompt, by_id).items()
         }
-        return by_id[min(order, key=costs.__getitem__)]
-
-    def _token_cost(
-        self, endpoint: Endpoint, prompt: PromptShape, rank: int, now: float
-    ) -> float:
+        return by_id[min(costs, key=costs.__getitem__)]
+
+    def _reread_tokens(
+        self, prompt: PromptShape, endpoint_ids: Collection[str]
+    ) -> dict[str, float]:
+        """Return how many shared tokens each endpoint is expected to lack.
+
+        Every host ranks the endpoints of a part alike.
+        """
+        total = float(sum(part.tokens for part in prompt.shared))
+        tokens = dict.fromkeys(endpoint_ids, total)
+        for part in prompt.shared:
+            for rank, endpoint_id in enumerate(_first_ranks(part, endpoint_ids)):
+                tokens[endpoint_id] -= part.tokens * REPLICA_SHARE**rank
+        for endpoint_id, parts in self._parts_by_endpoint.items():
+            if endpoint_id in tokens and all(p.part_id in parts for p in prompt.shared):
+                tokens[endpoint_id] = 0.0
+        return tokens
+
+    def _token_cost(self, endpoint: Endpoint, reread: float, now: float) -> float:
         """Return the tokens to be read before the request's first event."""
         load = self.load(endpoint.host)
         cost = float(load.pending_tokens + RUNNING_TOKENS * load.requests)
-        if not self._holds(endpoint.host, prompt.prefix_key):
-            reread = prompt.shared_tokens * (1 - REPLICA_SHARE**rank)
-            cost += REREAD_WEIGHT * reread
+        cost += REREAD_WEIGHT * reread + JITTER_TOKENS * self._random.random()
         if load.requests >= endpoint.listed.slots:
             cost += FULL_TOKENS
         if endpoint.listed.data_centre != self._data_centre:
@@ -225,27 +233,16 @@
             else:
                 self._others_by_endpoint[endpoint_id] = changed
 
-    def _holds(self, endpoint_id: str, prefix_key: str) -> bool:
-        return prefix_key in self._prefixes_by_endpoint.get(endpoint_id, ())
-
-    def _remember(self, endpoint_id: str, prefix_key: str) -> None:
-        prefixes = self._prefixes_by_endpoint.setdefault(endpoint_id, OrderedDict())
-        prefixes[prefix_key] = None
-        prefixes.move_to_end(prefix_key)
-        if len(prefixes) > PREFIXES_REMEMBERED:
-            prefixes.popitem(last=False)
-
-
-def shape_of_text(deployment: str, prompt: str) -> PromptShape:
-    """Return the shape of a prompt whose shared parts are not declared.
-
-    The length of the prefix is a power of two, so that the key of a conversation
-    changes seldom as it grows, and prompts that share a short opening still differ.
-    """
-    length = min(len(prompt), MAX_PREFIX_CHARACTERS)
-    length = 1 << max(0, length.bit_length() - 1)
-    return PromptShape(
-        prefix_key=f"{deployment}\0{prompt[:length]}",
-        shared_tokens=length // CHARACTERS_PER_TOKEN,
-        own_tokens=1 + max(0, len(prompt) - length) // CHARACTERS_PER_TOKEN,
-    )
+    def _holds(self, endpoint_id: str, part: PromptPart) -> bool:
+        return part.part_id in self._parts_by_endpoint.get(endpoint_id, ())
+
+    def _remember(self, endpoint_id: str, part: PromptPart) -> None:
+        parts = self._parts_by_endpoint.setdefault(endpoint_id, OrderedDict())
+        parts[part.part_id] = None
+        parts.move_to_end(part.part_id)
+        if len(parts) > PARTS_REMEMBERED:
+            parts.popitem(last=False)
+
+
+def _first_ranks(part: PromptPart, endpoint_ids: Iterable[str]) -> Iterable[str]:
+    return islice(ranked(part.part_id, endpoint_ids), REPLICA_RANKS)
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from amaranthhollow.decisions.choice import PromptShape
+from amaranthhollow.decisions.prompts import PromptShape
 from amaranthhollow.platform.callers import decode_request
 from amaranthhollow.serving.admission import Admitted, Refused
 from amaranthhollow.serving.clock import now
@@ -119,7 +119,7 @@
         run = RequestLog()
         try:
             await self._forwarder.forward(
-                exchange, request, admitted, prompt_shape(request), run
+                exchange, request, admitted, PromptShape.of_parts(request.prompt), run
             )
         finally:
             self._note(exchange, request, admitted, run)
@@ -177,12 +177,3 @@
     if exchange.is_abandoned:
         return "abandoned"
     return ANSWERED if exchange.is_finished else "cut"
-
-
-def prompt_shape(request: CallerRequest) -> PromptShape | None:
-    """Return what matters of the prompt for the choice of an endpoint."""
-    if not request.prompt:
-        return None
-    *shared, own = request.prompt
-    key = shared[-1].part_id if shared else own.part_id
-    return PromptShape(key, sum(part.tokens for part in shared), own.tokens)
--- a/src/amaranthhollow/gateway/model_calls.py
+++ b/src/amaranthhollow/gateway/model_calls.py
@@ -7,8 +7,8 @@
 
 from result import Err
 
-from amaranthhollow.decisions.choice import shape_of_text
 from amaranthhollow.decisions.claim_records import digest
+from amaranthhollow.decisions.prompts import shape_of_text
 from amaranthhollow.decisions.recovery import (
     LetFinish,
     MoveCache,
--- a/src/amaranthhollow/platform/callers.py
+++ b/src/amaranthhollow/platform/callers.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from amaranthhollow.decisions.prompts import PromptPart
 from amaranthhollow.platform import names
 from amaranthhollow.serving.messages import find_header, without_connection_headers
-from amaranthhollow.serving.request import CallerRequest, PromptPart
+from amaranthhollow.serving.request import CallerRequest
 
 if TYPE_CHECKING:
     from amaranthhollow.serving.exchange import Exchange
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -12,8 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from amaranthhollow.decisions.choice import EndpointChooser, PromptShape
+    from amaranthhollow.decisions.choice import EndpointChooser
     from amaranthhollow.decisions.endpoints import Endpoint
+    from amaranthhollow.decisions.prompts import PromptShape
     from amaranthhollow.serving.admission import Admitted
     from amaranthhollow.serving.connection_pool import ConnectionPool
     from amaranthhollow.serving.exchange import Exchange
--- a/src/amaranthhollow/serving/request.py
+++ b/src/amaranthhollow/serving/request.py
@@ -6,17 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from amaranthhollow.decisions.prompts import PromptPart
     from amaranthhollow.serving.messages import Header, RequestHead, ResponseHead
 
-__all__ = ["AnswerFacts", "CallerRequest", "Dispatch", "EndpointLoad", "PromptPart"]
-
-
-@dataclass(frozen=True)
-class PromptPart:
-    """A part of a prompt that requests may share, by its identifier."""
-
-    part_id: str
-    tokens: int
+__all__ = ["AnswerFacts", "CallerRequest", "Dispatch", "EndpointLoad"]
 
 
 @dataclass(frozen=True)
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -23,8 +23,8 @@
 from amaranthhollow.serving.request import AnswerFacts, Dispatch
 
 if TYPE_CHECKING:
-    from amaranthhollow.decisions.choice import PromptShape
     from amaranthhollow.decisions.endpoints import Endpoint
+    from amaranthhollow.decisions.prompts import PromptShape
     from amaranthhollow.serving.admission import Admitted
     from amaranthhollow.serving.attempt import Attempt
     from amaranthhollow.serving.exchange import Exchange
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -7,15 +7,11 @@
 
 import pytest
 
-from amaranthhollow.decisions.choice import (
-    EndpointChooser,
-    PromptShape,
-    SentLoad,
-    shape_of_text,
-)
+from amaranthhollow.decisions.choice import EndpointChooser, SentLoad
 from amaranthhollow.decisions.endpoints import Endpoint, ListedEndpoint
+from amaranthhollow.decisions.prompts import PromptPart, PromptShape, shape_of_text
 
-HOT = PromptShape("hot", 13_000, 3_000)
+HOT = PromptShape((PromptPart("hot", 13_000),), 3_000)
 # What an engine reads within the aim for the first token: 64.2 tokens a millisecond
 # for 0.64 s (system page, engines; developers' page, target).
 FIRST_TOKEN_TOKENS = 41_000
@@ -66,7 +62,7 @@
 
 
 def test_a_short_prompt_does_not_wait_behind_a_long_one(chooser, engines):
-    short = PromptShape("short", 300, 700)
+    short = PromptShape((PromptPart("short", 300),), 700)
     first = chooser.choose(engines, short, (), 0.0)
     chooser.learn("other-host", {first.host: SentLoad(1, 50_000)})
 
@@ -112,12 +108,12 @@
     chosen = {chooser.choose(engines, shape, (), 0.0).host for shape in shapes}
 
     assert len(chosen) == 1
-    assert len({shape.prefix_key for shape in shapes}) == 1
+    assert len({shape.shared for shape in shapes}) == 1
 
 
 def test_load_of_one_prefix_is_bounded(chooser, engines):
     """A hundred requests at once for one prefix leave no endpoint a quarter more."""
-    shape = PromptShape("one prefix", 200, 100)
+    shape = PromptShape((PromptPart("one prefix", 200),), 100)
     for _ in range(100):
         chosen = chooser.choose(engines[:4], shape, (), 0.0)
         chooser.started(chosen.host, shape)
@@ -133,3 +129,27 @@
     chooser.learn("other-host", {first.host: SentLoad(2, 15_000)})
 
     assert chooser.choose(engines, HOT, (), 0.0).host == first.host
+
+
+def test_sessions_on_one_document_go_where_it_is_read(engines):
+    """A long document is read once, also for sessions that no host has seen."""
+    document = PromptPart("document", 12_000)
+    chosen = set()
+    for number in range(20):
+        chooser = EndpointChooser("dc-1", Random(number))
+        session = PromptPart(f"session-{number}", 300)
+        shape = PromptShape((document, session), 1_000)
+        chosen.add(chooser.choose(engines, shape, (), 0.0).host)
+
+    assert len(chosen) == 1
+
+
+def test_sessions_on_a_short_opening_spread(engines):
+    chosen = set()
+    for number in range(20):
+        chooser = EndpointChooser("dc-1", Random(number))
+        session = PromptPart(f"session-{number}", 4_000)
+        shape = PromptShape((PromptPart("opening", 200), session), 1_000)
+        chosen.add(chooser.choose(engines, shape, (), 0.0).host)
+
+    assert len(chosen) == len(engines)
