--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -33,8 +33,8 @@
 # Engines are refused where they are not to be had; that lasts several seconds.
 UNAVAILABLE_SECONDS = 3.0
 SAMPLE_SECONDS = 0.1
-# What runs at the start is known after the platform's seed lag of 3 s and a heartbeat of
-# 1.2 s at most (system page, bounds; settings); no plan is made before.
+# What runs at the start is known after the platform's seed lag of 3 s and a heartbeat
+# of 1.2 s (system page, bounds; settings); no plan is made before.
 SETTLE_SECONDS = 4.2
 SAMPLES_PER_PLAN = 5
 
--- a/src/amaranthhollow/platform/endpoints.py
+++ b/src/amaranthhollow/platform/endpoints.py
@@ -11,7 +11,7 @@
     find_header,
     without_connection_headers,
 )
-from amaranthhollow.serving.request import AnswerFacts, EndpointLoad
+from amaranthhollow.serving.request import AnswerFacts
 
 if TYPE_CHECKING:
     from amaranthhollow.serving.messages import Header, ResponseHead
@@ -60,21 +60,10 @@
         or head.status == MISDIRECTED,
         is_signed=find_header(headers, names.SIGNATURE) is not None,
         is_event_stream=content_type.startswith(names.EVENT_STREAM),
-        is_stale_address=head.status == MISDIRECTED,
-        load=_load(find_header(headers, names.LOAD)),
         idle_seconds=_idle_seconds(find_header(headers, names.KEEP_ALIVE)),
-        retry_after_seconds=_seconds(find_header(headers, names.RETRY_AFTER)),
     )
 
 
-def _load(value: bytes | None) -> EndpointLoad | None:
-    try:
-        running, waiting, slots = map(int, (value or b"").split(b","))
-    except ValueError:
-        return None
-    return EndpointLoad(running, waiting, slots)
-
-
 def _idle_seconds(value: bytes | None) -> float | None:
     """Read ``timeout=SECONDS`` of a Keep-Alive header, or the bare number."""
     for item in (value or b"").split(b","):
--- a/src/amaranthhollow/platform/names.py
+++ b/src/amaranthhollow/platform/names.py
@@ -8,12 +8,9 @@
 DEADLINE = b"x-deadline-ms"
 AUTHORIZATION = b"authorization"
 HOST = b"host"
-MODEL = b"x-model"
 TOKEN_COUNT = b"x-token-count"
 PREFIX = b"x-prefix-hash"
-LENGTH_HINT = b"x-length-hint"
 LAST_EVENT_ID = b"last-event-id"
-RETRY_AFTER = b"retry-after"
 
 # The system's own to set towards an endpoint; what a client sends is dropped.
 EXPECTED_INSTANCE = b"x-expect-instance"
@@ -31,8 +28,6 @@
 # Of an endpoint's answer.
 SIGNATURE = b"x-server-stamp"
 NOT_RUN = b"x-not-run"
-LOAD = b"x-engine-load"
-INSTANCE = b"x-instance-id"
 KEEP_ALIVE = b"keep-alive"
 EVENT_STREAM = b"text/event-stream"
 
--- a/src/amaranthhollow/serving/attempt.py
+++ b/src/amaranthhollow/serving/attempt.py
@@ -11,6 +11,7 @@
     AnswerEnd,
     BodyPart,
     ConnectionLost,
+    LossKind,
 )
 from amaranthhollow.serving.messages import ResponseHead
 
@@ -26,13 +27,16 @@
 __all__ = [
     "Attempt",
     "EndpointCodec",
-    "NotConnected",
     "Silent",
     "WholeBody",
     "address_of",
 ]
 
 
+# Four times the largest body that today's callers may send (wire page, limits).
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
 @dataclass(frozen=True)
 class EndpointCodec:
     """How endpoints are spoken to."""
@@ -42,11 +46,6 @@
     decode: Callable[[ResponseHead], AnswerFacts]
 
 
-@dataclass(frozen=True)
-class NotConnected:
-    """The endpoint took no connection, so it has not seen the request."""
-
-
 @dataclass(frozen=True)
 class Silent:
     """Nothing came within the time that was given."""
@@ -124,6 +123,8 @@
             match await self.read_part(wait_until):
                 case BodyPart(data):
                     body += data
+                    if len(body) > MAX_ANSWER_BYTES:
+                        return ConnectionLost(LossKind.MALFORMED, "body too long")
                 case AnswerEnd():
                     return WholeBody(bytes(body))
                 case other:
--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 2
 MAX_QUEUED_BYTES = 262_144
+# Four times what callers may send (wire page, limits).
+MAX_HEAD_BYTES = 65_536
 
 
 class LossKind(Enum):
@@ -85,6 +87,8 @@
         self._got_eof = False
         self._lost: ConnectionLost | None = None
         self._headers: list[Header] = []
+        self._is_in_head = False
+        self._head_bytes = 0
         self.used_at = now()
         self.kept_until = 0.0
 
@@ -105,6 +109,10 @@
             self._spoil("unexpected upgrade")
         except httptools.HttpParserError as error:
             self._spoil(str(error))
+        if self._is_in_head and self._is_answering:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._spoil("the head is too long")
         if self._queued_bytes > MAX_QUEUED_BYTES:
             self._transport.pause_reading()
         self._wake()
@@ -132,6 +140,8 @@
     def on_message_begin(self) -> None:
         """Start another answer; one that nobody waits for spoils the connection."""
         self._headers = []
+        self._is_in_head = True
+        self._head_bytes = 0
         if not self._is_answering:
             self._is_spoiled = True
 
@@ -141,6 +151,7 @@
 
     def on_headers_complete(self) -> None:
         """Hand on the head of the answer that is waited for."""
+        self._is_in_head = False
         self._skips_message = not self._is_answering or not self._is_expected()
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
--- a/src/amaranthhollow/serving/request.py
+++ b/src/amaranthhollow/serving/request.py
@@ -9,7 +9,7 @@
     from amaranthhollow.decisions.prompts import PromptPart
     from amaranthhollow.serving.messages import Header, RequestHead, ResponseHead
 
-__all__ = ["AnswerFacts", "CallerRequest", "Dispatch", "EndpointLoad"]
+__all__ = ["AnswerFacts", "CallerRequest", "Dispatch"]
 
 
 @dataclass(frozen=True)
@@ -54,15 +54,6 @@
     last_event_id: str | None = None
 
 
-@dataclass(frozen=True)
-class EndpointLoad:
-    """Requests at an endpoint as it reports them, and its slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True)
 class AnswerFacts:
     """What the head of an endpoint's answer says.
@@ -76,7 +67,4 @@
     did_not_run: bool
     is_signed: bool
     is_event_stream: bool
-    is_stale_address: bool
-    load: EndpointLoad | None = None
     idle_seconds: float | None = None
-    retry_after_seconds: float | None = None
--- a/tests/standins/wire_endpoint.py
+++ b/tests/standins/wire_endpoint.py
@@ -32,6 +32,7 @@
     endpoint_id: str
     arrivals: list[Arrival] = field(default_factory=list)
     scripts: deque[list[Script]] = field(default_factory=deque)
+    scripts_by_path: dict[str, list[Script]] = field(default_factory=dict)
     usual: list[Script] | None = None
     connections: int = 0
     lost: int = 0
@@ -48,14 +49,19 @@
         try:
             while arrival := await _read_request(reader):
                 self.arrivals.append(arrival)
-                script = self.scripts.popleft() if self.scripts else self.usual
-                if not await self._play(script or plain(), arrival, writer):
+                if not await self._play(self._script(arrival), arrival, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
             self.lost += 1
         finally:
             writer.close()
 
+    def _script(self, arrival: Arrival) -> list[Script]:
+        by_path = self.scripts_by_path.get(arrival.line.split()[1])
+        if by_path is not None:
+            return by_path
+        return (self.scripts.popleft() if self.scripts else self.usual) or plain()
+
     async def _play(
         self, script: list[Script], arrival: Arrival, writer: asyncio.StreamWriter
     ) -> bool:
