Plan for the loss of a data centre with as many engines as are provided

Ruled out: a larger estimate of demand (it stood at 60 after 8 s, when none were to be had).

Change: the loss of one data centre leaves as many as were provided. Engines ordered here are counted less one data centre, as before, so that a new holder orders no more.

--- a/src/amaranthhollow/decisions/demand.py
+++ b/src/amaranthhollow/decisions/demand.py
@@ -48,10 +48,9 @@
     has_traffic: bool = False
 
     @classmethod
-    def provided(cls, engines: int, data_centres: int, now: float) -> DemandEstimate:
+    def provided(cls, engines: int, now: float) -> DemandEstimate:
         """Return the estimate for a site whose engines are provided as needed."""
-        outlasting = engines * max(1, data_centres - 1) / max(1, data_centres)
-        return cls(outlasting * BUSY_SHARE, now)
+        return cls(engines * BUSY_SHARE, now)
 
     def sampled(self, busy: float, now: float) -> DemandEstimate:
         """Return the estimate after one more sample."""
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -110,11 +110,15 @@
     ) -> DemandEstimate:
         """Return the estimate from the engines that the operator has provided.
 
-        Those that were ordered here are reclaimable; they count where no others are.
+        Those that were ordered here are reclaimable, with enough of them for the loss
+        of a data centre; they count where no others are.
         """
-        own = [e for e in endpoints if not e.listed.is_reclaimable] or endpoints
+        own = [e for e in endpoints if not e.listed.is_reclaimable]
+        if own:
+            return DemandEstimate.provided(len(own), instant)
         centres = len(service.scaling.price_by_data_centre)
-        return DemandEstimate.provided(len(own), centres, instant)
+        outlasting = len(endpoints) * (centres - 1) // max(1, centres)
+        return DemandEstimate.provided(outlasting, instant)
 
     async def _scale(self, service: Service) -> None:
         demand = self._demand_by_service.get(service.name)
--- a/tests/decisions/test_planner.py
+++ b/tests/decisions/test_planner.py
@@ -105,16 +105,24 @@
 
 
 def test_what_is_provided_stands_until_traffic_shows_what_is_needed():
-    provided = DemandEstimate.provided(engines=45, data_centres=4, now=0.0)
+    provided = DemandEstimate.provided(engines=45, now=0.0)
     waited = provided.sampled(0.0, 60.0)
     seen = waited.sampled(2.0, 60.1)
     for second in range(61, 121):
         seen = seen.sampled(2.0, float(second))
 
-    assert waited.needed_engines == provided.needed_engines >= 33
+    assert waited.needed_engines == provided.needed_engines == 45
     assert seen.needed_engines <= 6
 
 
+def test_what_is_provided_is_left_when_a_data_centre_is_lost():
+    bounds = ScalingBounds(1, 23, 4.0, 0.15, CENTRES)
+    needed = DemandEstimate.provided(engines=45, now=0.0).needed_engines
+    by_centre = wanted(plan_service("model", bounds, {}, needed), is_reclaimable=True)
+
+    assert sum(by_centre.values()) - max(by_centre.values()) >= 45
+
+
 def test_a_backlog_counts_for_more_than_one_engine():
     assert busy_engines([SentLoad(1, 0), SentLoad(1, 500)]) == 1.0
     assert busy_engines([SentLoad(9, 50_000)]) == 2.5
