Exchange with peers in turns

Cause: each host pinged 12 peers drawn at random.

Ruled out: a longer time until a host counts as unreachable; keys and quotas would rely on it for longer.

Change: peers are taken in turns, each turn in a new random order. With 12 peers or fewer nothing changes.

--- a/src/amaranthhollow/decisions/gossip.py
+++ b/src/amaranthhollow/decisions/gossip.py
@@ -28,6 +28,7 @@
     "Fact",
     "GossipMessage",
     "GossipTable",
+    "PeerRotation",
     "Version",
 ]
 
@@ -232,6 +233,30 @@
     return chosen
 
 
+class PeerRotation:
+    """Chooses peers in turns, so that each comes up once before any comes up again.
+
+    Example: with 58 peers and 12 a round, none waits for more than five rounds.
+    """
+
+    def __init__(self, random: Random) -> None:
+        """Order each turn at random."""
+        self._random = random
+        self._turn: list[str] = []
+
+    def select(self, peers: list[str], count: int) -> list[str]:
+        """Choose up to ``count`` distinct ones of ``peers``, who may change."""
+        chosen: list[str] = []
+        while len(chosen) < min(count, len(peers)):
+            if not self._turn:
+                self._turn = list(peers)
+                self._random.shuffle(self._turn)
+            peer = self._turn.pop()
+            if peer in peers and peer not in chosen:
+                chosen.append(peer)
+        return chosen
+
+
 def choose_partners(
     peers: list[str], lost: list[str], fanout: int, random: Random
 ) -> list[str]:
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -10,7 +10,7 @@
 
 from amaranthhollow.decisions.duties import HolderSeen
 from amaranthhollow.decisions.freshness import vouched_proof
-from amaranthhollow.decisions.gossip import select_peers
+from amaranthhollow.decisions.gossip import PeerRotation
 from amaranthhollow.decisions.quota import HostCounts
 from amaranthhollow.decisions.usage import merged_counts
 from amaranthhollow.entry.peer_documents import (
@@ -73,6 +73,7 @@
         self._heard_at_by_host: dict[str, float] = {}
         self._heard_at_by_process: dict[str, float] = {}
         self._round = 0
+        self._rotation = PeerRotation(host.random)
 
     async def start(self) -> None:
         """Bind the port for datagrams."""
@@ -122,7 +123,7 @@
         host.membership.expire(instant)
         self._count_hosts(instant)
         random = host.random
-        partners = select_peers(host.membership.peers, FANOUT, random.randrange)
+        partners = self._rotation.select(host.membership.peers, FANOUT)
         lost = host.membership.lost_hosts
         if lost and self._round % LOST_TRY_ROUNDS == 0:
             partners.append(random.choice(lost))
@@ -268,8 +269,8 @@
 def reachable_seconds(peers: int) -> float:
     """Return after how long a peer that was not heard of is not counted on.
 
-    A host hears of each peer about twice in as many rounds as its pings need to
-    reach all of them; four times that, and an echo's time at least, rules out chance.
+    A host hears of each peer twice in as many rounds as its pings need to reach all
+    of them; twice as many, and an echo's time at least, rules out a lost datagram.
     """
     rounds = peers / FANOUT
     return max(ECHO_SECONDS, 2 * PING_SECONDS * rounds)
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -11,6 +11,7 @@
     MAX_MESSAGE_BYTES,
     Fact,
     GossipTable,
+    PeerRotation,
     Version,
     choose_partners,
     select_peers,
@@ -162,3 +163,23 @@
     assert group["h0"].active_hosts == ["h0"]
     group["h0"].exchange_failed("h1", 11.0)
     assert group["h0"].hosts == ["h0"]
+
+
+def test_each_peer_comes_up_within_a_turn():
+    """Random choices leave some of 58 peers out for seconds, as if they were lost."""
+    peers = [f"host-{number}" for number in range(58)]
+    rotation = PeerRotation(Random(3))
+    rounds = [rotation.select(peers, 12) for _ in range(200)]
+
+    for first in range(0, 190):
+        heard = {peer for chosen in rounds[first : first + 10] for peer in chosen}
+        assert heard == set(peers)
+    assert all(len(set(chosen)) == 12 for chosen in rounds)
+
+
+def test_a_turn_goes_on_while_peers_come_and_go():
+    rotation = PeerRotation(Random(3))
+    assert len(rotation.select(["a", "b", "c"], 2)) == 2
+    assert set(rotation.select(["d"], 2)) == {"d"}
+    assert rotation.select([], 2) == []
+    assert set(rotation.select(["a", "d"], 12)) == {"a", "d"}
