--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -149,6 +149,7 @@
                 "outcome": _outcome(exchange),
                 "status": exchange.status,
                 "endpoints": run.endpoints,
+                "cache_sources": run.cache_sources,
                 "failures": run.failures,
                 "first_part": first_part and round(first_part, 3),
                 "seconds": round(seconds, 3),
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -29,6 +29,7 @@
     """What happened to one request, for its decision log line."""
 
     endpoints: list[str] = field(default_factory=list)
+    cache_sources: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     first_part_at: float | None = None
 
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -135,6 +135,8 @@
         attempt = forwarder.attempt_at(endpoint)
         self.log.endpoints.append(endpoint.host)
         source = forwarder.cache_source(self._admitted, endpoint, self._prompt)
+        if source is not None:
+            self.log.cache_sources.append(source)
         self._pending = forwarder.chooser.started(
             endpoint.host, self._prompt, fetches=source is not None
         )
