Soak daemons under series of faults, and check what callers and endpoints see

Three daemons as processes before three endpoints behind proxies that slow, reset, silence and lose answers; daemons are stopped, continued, killed, terminated and started again, the store goes away, configurations change, two faults at a time for 8 s, then none. Nine callers keep their connections. Checked: nothing that may run once ran twice or was refused and ran, bodies and events are the request's own, a stream that looks complete is, planned stops end with 0, and service is back.

--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -16,7 +16,7 @@
 from tests.standins.store import StoreStandIn
 from tests.standins.wire_endpoint import WireEndpoint
 
-__all__ = ["Answer", "EntrySite", "KEY"]
+__all__ = ["Answer", "EntrySite", "KEY", "read_answer"]
 
 ROOT = Path(__file__).resolve().parents[2]
 KEY = "key-1"
@@ -185,7 +185,7 @@
             reader, writer = await asyncio.open_connection(address, port)
             try:
                 writer.write(data)
-                return await _read_answer(reader)
+                return await read_answer(reader)
             finally:
                 writer.close()
 
@@ -208,7 +208,7 @@
     }
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> Answer:
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
     head = await reader.readuntil(b"\r\n\r\n")
     line, *rest = head.decode("latin-1").split("\r\n")
     headers = {}
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: daemons as processes, under faults from outside."""
--- /dev/null
+++ b/tests/soak/endpoint.py
@@ -0,0 +1,57 @@
+"""An endpoint of the soak: what it answers follows from the request alone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+from tests.standins.wire_endpoint import Arrival, Script, WireEndpoint, plain, stream
+
+__all__ = ["EVENTS", "SoakEndpoint", "piece", "plain_body"]
+
+EVENTS = 20
+EVENT_SECONDS = 0.03
+WORK_SECONDS = 0.02
+REJECTED = plain(status=503, extra=b"X-Not-Run: 1\r\n", body=b"", signed=False)
+
+
+def plain_body(request_id: str) -> bytes:
+    """Return the one body that answers a request."""
+    return f"body of {request_id}".encode() * 20
+
+
+def piece(request_id: str, number: int) -> bytes:
+    """Return one event of the one stream that answers a request."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+
+
+@dataclass
+class SoakEndpoint(WireEndpoint):
+    """Runs requests, refuses, fails and breaks off, by a seeded choice."""
+
+    random: Random = field(default_factory=Random)
+    ran: list[Arrival] = field(default_factory=list)
+    share_bad: float = 0.05
+
+    def _script(self, arrival: Arrival) -> list[Script]:
+        chance = self.random.random() / self.share_bad
+        if chance < 0.4:
+            return REJECTED
+        self.ran.append(arrival)
+        if chance < 0.6:
+            return [WORK_SECONDS, *plain(status=500)]
+        if chance < 0.8:
+            return [WORK_SECONDS, "reset"]
+        whole = self._answer(arrival)
+        return [*whole[: len(whole) // 2], "reset"] if chance < 1.0 else whole
+
+    def _answer(self, arrival: Arrival) -> list[Script]:
+        request_id = arrival.request_id
+        path = arrival.line.split()[1]
+        if path.startswith(("/stream/", "/draft/")):
+            first = int(arrival.headers.get("last-event-id", 0)) + 1
+            steps: list[Script] = []
+            for number in range(first, EVENTS + 1):
+                steps += [piece(request_id, number), EVENT_SECONDS]
+            return stream(*steps)
+        return [WORK_SECONDS, *plain(plain_body(request_id))]
--- a/tests/standins/wire_endpoint.py
+++ b/tests/standins/wire_endpoint.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["Arrival", "WireEndpoint", "event", "plain", "stream"]
+__all__ = ["Arrival", "WireEndpoint", "event", "plain", "reset", "stream"]
 
 Script = bytes | float | str
 """Bytes are sent, seconds waited for; ``"reset"``, ``"crash"`` and ``"close"`` end."""
@@ -73,19 +73,21 @@
                 case float():
                     await asyncio.sleep(step)
                 case "reset":
-                    _reset(writer)
+                    reset(writer)
                     return False
                 case "crash":
                     self.server.close()
-                    _reset(writer)
+                    reset(writer)
                     return False
                 case "close":
                     return False
         return True
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
     """Close with a reset in place of an orderly end."""
+    if writer.transport.is_closing():
+        return
     sock = writer.get_extra_info("socket")
     linger = struct.pack("ii", 1, 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
