Keep the own interface's load reports within their part of a message

Found on reading: a report of more endpoints than fit into 256 bytes was never sent, and a daemon that starts again could take its own earlier report for another daemon's. Now the eight most loaded endpoints are told, and a daemon's own report is not learned.

--- a/src/amaranthhollow/daemon/gossiping.py
+++ b/src/amaranthhollow/daemon/gossiping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from heapq import nlargest
 from typing import TYPE_CHECKING
 
 import logbook
@@ -32,6 +33,8 @@
 EXCHANGE_SECONDS = 0.5
 FANOUT = 2
 MAX_PUSHED = 16
+# What fits into the part of a message that is for loads (decisions.gossip).
+MAX_LOADS_TOLD = 8
 
 log = logbook.Logger("gossip")
 _decoder = msgspec.msgpack.Decoder(GossipMessage)
@@ -104,7 +107,7 @@
                     log.info("host {} is to be reclaimed", fact.name)
                 case "crash":
                     self._apply_evidence(fact)
-                case "load":
+                case "load" if fact.name != node.settings.host:
                     node.chooser.learn(fact.name, _loads_decoder.decode(fact.value))
 
     def publish_revision(self, entry: HeadEntry) -> None:
@@ -114,10 +117,12 @@
         self.publish([Fact(CONFIGURATION_FACT, "head", version, value)])
 
     def _publish_loads(self) -> None:
-        """Tell how many requests this daemon has at each endpoint."""
+        """Tell what this daemon has at the endpoints where it has most."""
         node = self._node
         host = node.settings.host
-        value = msgspec.msgpack.encode(node.chooser.own_loads())
+        loads = node.chooser.own_loads()
+        most = nlargest(MAX_LOADS_TOLD, loads, key=lambda e: loads[e].pending_tokens)
+        value = msgspec.msgpack.encode({endpoint: loads[endpoint] for endpoint in most})
         known = node.membership.table.get(LOAD_FACT, host)
         if known is None or known.value != value:
             version = Version(int(node.now() * 1000))
--- a/src/amaranthhollow/decisions/choice.py
+++ b/src/amaranthhollow/decisions/choice.py
@@ -48,9 +48,10 @@
 # A shared part that is read again delays other prompts and drives other parts from
 # the engine's memory, so it counts for several times its tokens (benchmarks.routing).
 REREAD_WEIGHT = 3.0
-# What another endpoint holds is fetched in about an eighth of the time that reading it
-# takes, for about half the price (site files, engines and prices), and delays nobody.
+# What another endpoint holds is fetched for about half the price of reading it (site
+# files, prices), and delays nobody.
 FETCH_WEIGHT = 1.0
+# The time of a fetch, as a part of the time of reading (site files, engines).
 FETCH_SHARE = 0.125
 # Below this, a fetch takes longer than reading (site files: 2.7 ms to set up).
 MIN_FETCH_TOKENS = 500
@@ -204,7 +205,8 @@
     ) -> dict[str, float]:
         """Return how many shared tokens each endpoint is expected to lack.
 
-        Every host ranks the endpoints of a part alike.
+        None, where this host has sent all the parts before; else by the order of the
+        endpoints for each part, which is the same at every host.
         """
         total = float(sum(part.tokens for part in prompt.shared))
         tokens = dict.fromkeys(endpoint_ids, total)
--- a/src/amaranthhollow/decisions/gossip.py
+++ b/src/amaranthhollow/decisions/gossip.py
@@ -6,8 +6,9 @@
 facts goes with every message, and peers whose digests differ send the bucket, so
 that a member that missed a fact catches up.
 
-Load reports change too often for that. They are left out of the digests and get a
-small part of each message, the newest first; a report that is missed is not missed.
+Load reports, of what a daemon has at each endpoint, change too often for that. They are
+left out of the digests and get a small part of each message, the newest first; a report
+that is missed is made good by the next.
 """
 
 from __future__ import annotations
