Leave a silent endpoint only for another one, and with room for a repeat

Cause: a stream that had paused was given up as stalled before the budget of repeats was asked and another endpoint looked for; when either said no, the caller's answer was cut, or ended with 502, though the endpoint went on.

Ruled out: the deadline (16.1 s) and the engine breaking off.

Change: the repeat is taken, and another endpoint there, before a silent one is left; else it is waited for until the deadline.

Both new tests failed first: the stream was cut after its first event.

--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -77,6 +77,7 @@
         self._tried: list[str] = []
         self._sent = 0
         self._may_have_run = False
+        self._has_repeat = False
         self._splitter = EventSplitter(request.last_event_id)
         self.log = log
 
@@ -104,8 +105,9 @@
                 case Unknown(reason):
                     self._fail(reason)
                     self._may_have_run = True
-                    if not self._may_repeat():
+                    if not self._has_repeat and not self._may_repeat():
                         return self._give_up()
+                    self._has_repeat = False
 
     def _next_endpoint(self) -> Endpoint | None:
         if self._deadline - now() < MIN_ATTEMPT_SECONDS:
@@ -121,6 +123,13 @@
     def _may_repeat(self) -> bool:
         return self._route.may_repeat and self._may_send_again()
 
+    def _may_leave(self) -> bool:
+        """Take a repeat for leaving a silent endpoint; without one it is waited for."""
+        if self._next_endpoint() is None:
+            return False
+        self._has_repeat = self._has_repeat or self._may_repeat()
+        return self._has_repeat
+
     def _is_worth_repeating(self, facts: AnswerFacts) -> bool:
         return (
             facts.head.status >= SERVER_ERROR
@@ -187,9 +196,11 @@
         if not isinstance(event, Silent):
             self._forwarder.heard_from(endpoint)
             return event
-        if wait_until < self._deadline and not self._is_dark(attempt, endpoint):
-            return await attempt.read_head(self._deadline)
-        return event
+        if wait_until >= self._deadline:
+            return event
+        if self._is_dark(attempt, endpoint) and self._may_leave():
+            return event
+        return await attempt.read_head(self._deadline)
 
     def _patience_ends(self, attempt: Attempt) -> float:
         if not self._route.may_repeat or self._sent >= self._route.max_attempts:
@@ -245,7 +256,7 @@
             wait_until = self._gap_ends(attempt)
             part = await attempt.read_part(wait_until)
             if isinstance(part, Silent) and wait_until < self._deadline:
-                if self._is_dark_for_gap(endpoint):
+                if self._is_dark_for_gap(endpoint) and self._may_leave():
                     return Unknown(f"{endpoint.host} stalled")
                 continue
             match part:
--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -109,7 +109,7 @@
         }
         self.store.put_json("op/config", {**document, **changes})
 
-    def start_daemon(self, name: str, number: int) -> str:
+    def start_daemon(self, name: str, number: int, **bounds: float) -> str:
         address = f"{self.network}.{number}"
         settings = {
             "host": name,
@@ -130,6 +130,7 @@
                 "repeat_ratio": 0.2,
                 "repeat_slack": 50,
                 "repeat_window": 10,
+                **bounds,
             },
         }
         file = self.folder / f"{name}.yaml"
--- a/tests/entry/test_entry_host.py
+++ b/tests/entry/test_entry_host.py
@@ -397,3 +397,30 @@
     other = {"e1": "e2", "e2": "e1"}[second.headers["x-expect-instance"]]
     assert "kv-fetch" not in first.headers
     assert second.headers["kv-fetch"] == address_by_id[other]
+
+
+async def test_a_slow_endpoint_is_not_left_without_room_for_a_repeat(site):
+    """Silence alone is no reason to cut an answer that may still come."""
+    await site.add_endpoint("e1", 11)
+    await site.add_endpoint("e2", 12)
+    address = site.start_daemon("host-1", 21, repeat_ratio=0, repeat_slack=0)
+    await site.wait_ready(address)
+    for endpoint in site.endpoints.values():
+        endpoint.scripts_by_path["/stream/x"] = stream(event(1), 1.2, event(2))
+        endpoint.scripts_by_path["/plain/x"] = [1.2, *plain()]
+    streamed = await site.ask(address, "/stream/x", "r1")
+    whole = await site.ask(address, "/plain/x", "r2")
+
+    assert (streamed.is_whole, streamed.body) == (True, event(1) + event(2))
+    assert (whole.status, whole.body) == (200, b"whole")
+    assert len(arrivals(site)) == 2
+
+
+async def test_the_only_endpoint_is_not_left_for_its_silence(site):
+    await site.add_endpoint("e1", 11)
+    address = site.start_daemon("host-1", 21)
+    await site.wait_ready(address)
+    site.endpoints["e1"].usual = stream(event(1), 1.2, event(2))
+    answer = await site.ask(address, "/stream/x", "r1")
+
+    assert (answer.is_whole, answer.body) == (True, event(1) + event(2))
