Do not take a freeze of the host for an outage of the store

Cause: a host whose last proof is older than 2 s keeps entries that are missing for 3 s, as they may have lapsed with the store. A host that had been frozen for 5 s did so too, and ended it only with its next read, up to 1.1 s later; it sent to an engine that had left 2.3 to 3.4 s before.

Change: a gap between ticks of the reader over 1.7 s is a freeze; it gives no grace, and ends one. A grace ends at its time, not with the next read.

--- a/src/amaranthhollow/entry/site_sync.py
+++ b/src/amaranthhollow/entry/site_sync.py
@@ -27,6 +27,8 @@
 __all__ = ["HostAnnouncement", "SiteSync"]
 
 TICK_SECONDS = 0.05
+# A tick and a read that is given up take half of this: the process was frozen.
+FROZEN_SECONDS = 1.7
 # A slow store answers in a quarter of a second; a read that takes longer than the
 # interval between reads is given up for the next.
 READ_TIMEOUT_SECONDS = 0.8
@@ -50,7 +52,14 @@
 
     async def run(self) -> None:
         """Read whenever it is due, until cancelled."""
+        ticked_at = now()
         while True:
+            instant = now()
+            if instant - ticked_at > FROZEN_SECONDS:
+                log.info("frozen", extra={"seconds": instant - ticked_at})
+                self._host.site.woke(instant)
+            ticked_at = instant
+            self._host.site.tick(instant)
             if self._is_due():
                 await self._read()
             await asyncio.sleep(TICK_SECONDS)
--- a/src/amaranthhollow/state/site_state.py
+++ b/src/amaranthhollow/state/site_state.py
@@ -83,6 +83,7 @@
         self._listed_by_id: dict[str, ListedEndpoint] = {}
         self._entries_by_id: dict[str, StoredEntry] = {}
         self._grace_until = 0.0
+        self._woke_at = 0.0
         self._refused_value = b""
 
     @property
@@ -131,7 +132,7 @@
         """Take in the entries of a read; tells whether any changed."""
         if snapshot.revision < self.snapshot.revision:
             return False
-        if self.endpoints_proof.age(now) > OUTAGE_SECONDS and self._listed_by_id:
+        if self._was_store_away(now) and self._listed_by_id:
             self._grace_until = now + RETURN_GRACE_SECONDS
         self.endpoints_proof = self.endpoints_proof.renewed(proven_at)
         fingerprint = snapshot.fingerprint
@@ -144,6 +145,25 @@
             self._note_listed(now)
         return has_changed
 
+    def woke(self, now: float) -> None:
+        """Note that the host was frozen until ``now``: its proofs are old by that.
+
+        What was read since is no sign that the store was away either.
+        """
+        self._woke_at = now
+        self._grace_until = 0.0
+        self._note_listed(now)
+
+    def tick(self, now: float) -> None:
+        """End the grace of entries that are still missing after it."""
+        if 0.0 < self._grace_until <= now:
+            self._note_listed(now)
+
+    def _was_store_away(self, now: float) -> bool:
+        """Tell whether nobody has read the store for long, while this host ran."""
+        age = min(self.endpoints_proof.age(now), now - self._woke_at)
+        return age > OUTAGE_SECONDS
+
     def usable_endpoints(self, service: str, now: float) -> list[Endpoint]:
         """Return the endpoints of a service that may get new work."""
         return self.endpoints.usable(service, now, includes_unlisted=False)
--- /dev/null
+++ b/tests/state/test_site_state.py
@@ -0,0 +1,61 @@
+"""Endpoints of a site that lapse with the store, or are gone while a host is frozen."""
+
+from __future__ import annotations
+
+import pytest
+from result import Ok
+
+from amaranthhollow.decisions.endpoints import ListedEndpoint
+from amaranthhollow.state.site_state import (
+    EndpointSnapshot,
+    SiteDecoders,
+    SiteState,
+    StoredEntry,
+)
+
+
+def decode(endpoint_id, _):
+    return Ok(ListedEndpoint(endpoint_id, 1, "10.0.0.1", 1, "dc-1", "model"))
+
+
+def snapshot(revision, *endpoint_ids):
+    return EndpointSnapshot(
+        revision, tuple(StoredEntry(name, b"", 1) for name in endpoint_ids)
+    )
+
+
+def usable(site, now):
+    return {endpoint.host for endpoint in site.usable_endpoints("model", now)}
+
+
+@pytest.fixture
+def site():
+    """A site with two endpoints, read at instant 1."""
+    site = SiteState(SiteDecoders(None, decode))
+    site.apply_endpoints(snapshot(1, "e1", "e2"), 1.0, 1.0)
+    return site
+
+
+def test_entries_that_lapsed_with_the_store_stay_for_a_while(site):
+    site.apply_endpoints(snapshot(2, "e1"), 6.0, 6.0)
+    assert usable(site, 6.0) == {"e1", "e2"}
+
+    site.tick(8.9)
+    assert usable(site, 8.9) == {"e1", "e2"}
+    site.tick(9.1)
+    assert usable(site, 9.1) == {"e1"}
+
+
+def test_what_left_while_the_host_was_frozen_is_gone(site):
+    """The host did not read for five seconds, but the store was not away."""
+    site.woke(6.0)
+    site.apply_endpoints(snapshot(2, "e1"), 6.1, 6.1)
+
+    assert usable(site, 6.1) == {"e1"}
+
+
+def test_a_freeze_that_is_noticed_after_a_read_gives_no_grace(site):
+    site.apply_endpoints(snapshot(2, "e1"), 6.0, 6.0)
+    site.woke(6.05)
+
+    assert usable(site, 6.05) == {"e1"}
