--- a/tests/daemon/test_serving.py
+++ b/tests/daemon/test_serving.py
@@ -100,11 +100,16 @@
     shown = await configured_site.run_cli("state", "entry-1")
     assert json.loads(shown.stdout)["state"] == "ready"
     process.deliver_signal(signal.SIGUSR1)
-    await asyncio.sleep(0.2)
-    assert '"host":"entry-1"' in process.log_path.read_text()
+    await configured_site.wait_until(
+        lambda: is_dumped(process.log_path), "the state is in the log"
+    )
     assert ADVISER_KEY not in process.log_path.read_text() + shown.stdout
 
 
+async def is_dumped(log_path):
+    return '"host":"entry-1"' in log_path.read_text()
+
+
 async def test_terminated_daemon_completes_open_streams(configured_site):
     process = configured_site.processes_by_name["entry-1"]
     body = {"model": "draft-small", "prompt": "a b", "max_tokens": 250, "stream": True}
--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -48,7 +48,8 @@
         app = self.store.build_app()
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, f"{self.network}.2", STORE_PORT).start()
+        for address in (self.store_address, self.second_store_address):
+            await web.TCPSite(runner, address, STORE_PORT).start()
         self._cleanups.append(runner.cleanup)
 
     async def close(self) -> None:
@@ -59,6 +60,16 @@
         for cleanup in self._cleanups:
             await cleanup()
 
+    @property
+    def store_address(self) -> str:
+        """The address at which daemons reach the store by default."""
+        return f"{self.network}.2"
+
+    @property
+    def second_store_address(self) -> str:
+        """Another address of the same store, which can refuse calls on its own."""
+        return f"{self.network}.3"
+
     @property
     def arrivals(self) -> list[Arrival]:
         """Every request that reached an endpoint."""
@@ -116,7 +127,14 @@
         }
         self.store.put_json("op/config", {**document, **changes})
 
-    def start_daemon(self, name: str, number: int, **bounds: float) -> str:
+    def start_daemon(
+        self,
+        name: str,
+        number: int,
+        *,
+        store_address: str | None = None,
+        **bounds: float,
+    ) -> str:
         address = f"{self.network}.{number}"
         settings = {
             "host": name,
@@ -125,8 +143,8 @@
             "callers": f"{address}:{CALLER_PORT}",
             "readiness": f"{address}:{READY_PORT}",
             "metrics_port": METRICS_PORT,
-            "store": f"{self.network}.2:{STORE_PORT}",
-            "cloud": f"{self.network}.2:{STORE_PORT}",
+            "store": f"{store_address or self.store_address}:{STORE_PORT}",
+            "cloud": f"{self.store_address}:{STORE_PORT}",
             "peer_ports": {"first": PEER_PORT, "last": PEER_PORT + 15},
             "bounds": {
                 "key_removal_ms": 3000,
--- a/tests/entry/test_site_sync.py
+++ b/tests/entry/test_site_sync.py
@@ -32,9 +32,10 @@
 async def test_host_without_store_access_gets_configuration_from_peers(
     site, daemon_address
 ):
-    address = site.start_daemon("host-2", 22)
+    store_address = site.second_store_address
+    address = site.start_daemon("host-2", 22, store_address=store_address)
     await site.wait_ready(address)
-    site.store.faults["refused_addresses"] = [address]
+    site.store.faults["refusing_addresses"] = [store_address]
     await asyncio.sleep(4.0)
     site.configure(2, tenants=[{"name": "w1", "api_keys": ["key-2"]}])
     await asyncio.sleep(2.0)
@@ -46,6 +47,7 @@
     assert (
         await site.send_request(address, "/plain/", "r2", key="key-1")
     ).status == 401
+    assert site.store.refused_calls > 0
 
 
 async def test_unreadable_configuration_or_entry_is_ignored(site, daemon_address):
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,10 +1,14 @@
 """Stand-in for the platform's key-value store and its API for duties.
 
 Faults: ``down`` (status 503), ``refuse_connections``, ``is_silent`` (no response),
-``refused_addresses`` (status 503 for callers at these addresses), ``delay_seconds``,
+``refusing_addresses`` (status 503 at these of the stand-in's addresses, since all
+callers on loopback have the same one), ``delay_seconds``,
 ``lose_answers`` (so many writes are applied without a response), ``late_writes`` (so
 many writes get no response and are applied ``late_seconds`` later, if their condition
-still holds), ``compact`` (so many watches get status 410: the history was compacted).
+still holds), ``compact`` (so many watches get status 410: the history was compacted),
+``late_responses`` (so many responses state the era before the last restore).
+
+``take_copy`` and ``restore`` let the store return from an older copy.
 """
 
 from __future__ import annotations
@@ -14,6 +18,7 @@
 import time
 from base64 import b64decode, b64encode
 from collections import Counter
+from copy import deepcopy
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -44,6 +49,15 @@
         }
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store returns to."""
+
+    items: dict[str, Item]
+    leases_by_id: dict[int, Lease]
+    revision: int
+
+
 @dataclass
 class Lease:
     ttl_seconds: float
@@ -58,16 +72,19 @@
             down=False,
             refuse_connections=False,
             is_silent=False,
-            refused_addresses=[],
+            refusing_addresses=[],
             delay_seconds=0.0,
             lose_answers=0,
             late_writes=0,
             late_seconds=0.3,
             compact=0,
+            late_responses=0,
         )
         self.items: dict[str, Item] = {}
         self.usage: list[tuple[str, int, dict]] = []
         self.orders: list[tuple[str, int, dict]] = []
+        self.era = 0
+        self.refused_calls = 0
         self._revision = 1
         self._events: list[tuple[int, str, dict]] = []
         self._leases_by_id: dict[int, Lease] = {}
@@ -94,6 +111,31 @@
             event = {"key": key, "revision": self._revision, "deleted": True}
             self._record_event(key, event)
 
+    def take_copy(self) -> StoreCopy:
+        return StoreCopy(dict(self.items), deepcopy(self._leases_by_id), self._revision)
+
+    def restore(self, copy: StoreCopy, rewrite_seconds: float = 1.0) -> None:
+        """Return to ``copy``; operators and endpoints write theirs again later."""
+        newest = {
+            k: i for k, i in self.items.items() if k.startswith(READ_ONLY_PREFIXES)
+        }
+        self.era += 1
+        self.items = dict(copy.items)
+        self._leases_by_id = deepcopy(copy.leases_by_id)
+        self._revision = copy.revision
+        self._events.clear()
+        loop = asyncio.get_running_loop()
+        loop.call_later(rewrite_seconds, self._write_again, newest)
+
+    def _write_again(self, newest: dict[str, Item]) -> None:
+        for key in [k for k in self.items if k.startswith(READ_ONLY_PREFIXES)]:
+            if key not in newest:
+                self.delete(key)
+        for key, item in newest.items():
+            current = self.items.get(key)
+            if current is None or current.value != item.value:
+                self.put(key, item.value)
+
     def build_app(self) -> web.Application:
         app = web.Application(
             client_max_size=4 << 20, middlewares=[self._inject_faults]
@@ -124,10 +166,21 @@
             await asyncio.sleep(3600)
         if self.faults["delay_seconds"]:
             await asyncio.sleep(self.faults["delay_seconds"])
-        if self.faults["down"] or request.remote in self.faults["refused_addresses"]:
+        if self.faults["down"] or self._is_refusing(request):
+            self.refused_calls += 1
             return web.json_response({}, status=503)
         self._expire_leases()
-        return await handler(request)
+        response = await handler(request)
+        era = self.era - self.faults.consume("late_responses")
+        if era > 0:
+            response.headers["Store-Era"] = str(era)
+        return response
+
+    def _is_refusing(self, request: web.Request) -> bool:
+        if request.transport is None:
+            return False
+        address, _ = request.transport.get_extra_info("sockname")
+        return address in self.faults["refusing_addresses"]
 
     async def _get_key(self, request: web.Request) -> web.Response:
         key = request.query["key"]
@@ -149,7 +202,7 @@
     async def _watch(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], int(request.query["start_after"])
         deadline = time.monotonic() + int(request.query["wait_ms"]) / 1000
-        if self.faults.consume("compact"):
+        if self.faults.consume("compact") or after > self._revision:
             return web.json_response({}, status=410)
         self._pending_watches += 1
         try:
