--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -181,10 +181,10 @@
                 counts.bytes_written += len(encode_segment(segment))
                 shard.segments_by_id[segment_id] = segment
                 return SegmentWritten(segment_id)
-            case WriteHead(head, expected_revision):
+            case WriteHead(head, expected_position):
                 counts.writes += 1
                 counts.bytes_written += len(encode_head(head))
-                if expected_revision != shard.revision:
+                if expected_position != shard.revision:
                     counts.conflicts += 1
                     return WriteConflicted()
                 shard.head = head
--- a/src/amaranthhollow/daemon/configuration_sync.py
+++ b/src/amaranthhollow/daemon/configuration_sync.py
@@ -11,6 +11,7 @@
 from result import Ok
 
 from amaranthhollow.decisions.configuration import (
+    RevisionHead,
     body_matches,
     decode_body,
     is_watcher,
@@ -19,7 +20,7 @@
 if TYPE_CHECKING:
     from amaranthhollow.daemon.gossiper import Gossiper
     from amaranthhollow.daemon.node import Node
-    from amaranthhollow.decisions.configuration import HeadEntry, RevisionHead
+    from amaranthhollow.decisions.configuration import HeadEntry
     from amaranthhollow.state.configuration_store import ConfigurationStore
 
 __all__ = ["ConfigurationSync"]
@@ -43,6 +44,8 @@
         self._pending: HeadEntry | None = None
         self._pending_sender = ""
         self._revision_pending = asyncio.Event()
+        self._newest_head = RevisionHead()
+        self._tasks: set[asyncio.Task[bool]] = set()
 
     def set_gossiper(self, gossiper: Gossiper) -> None:
         """Publish revisions that are read from the service through ``gossiper``."""
@@ -105,16 +108,26 @@
     async def read_head(self) -> bool:
         """Read and publish the newest revision; return False if the read fails."""
         head = await self._store.read_head()
-        if isinstance(head, Ok):
-            self._publish_head(head.ok_value)
-            return True
-        return False
+        if not isinstance(head, Ok):
+            return False
+        if head.ok_value.revision < self._newest_head.revision:
+            await self._store.restore_head(self._newest_head, self._bodies_by_change_id)
+        self._publish_head(head.ok_value)
+        return True
+
+    def store_restored(self, previous_era: int, era: int) -> None:
+        """Store the newest head again if the service has lost it."""
+        task = asyncio.get_running_loop().create_task(self.read_head())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _is_watcher(self) -> bool:
         membership = self._node.membership
         return is_watcher(self._node.settings.host, membership.active_hosts)
 
     def _publish_head(self, head: RevisionHead) -> None:
+        if head.revision > self._newest_head.revision:
+            self._newest_head = head
         if head.newest is not None and self._gossiper is not None:
             self._gossiper.publish_revision(head.newest)
 
--- a/src/amaranthhollow/daemon/gossiper.py
+++ b/src/amaranthhollow/daemon/gossiper.py
@@ -15,6 +15,7 @@
 from amaranthhollow.decisions.endpoints import ENDPOINT_FACT
 from amaranthhollow.decisions.gossip import (
     LOAD_FACT,
+    STORE_ERA_FACT,
     Fact,
     GossipMessage,
     Version,
@@ -110,6 +111,8 @@
                     log.info("received a reclaim notice for host {}", fact.name)
                 case "crash":
                     self._apply_evidence(fact)
+                case "store-era":
+                    node.store.observe_era(fact.version.incarnation)
                 case "load" if fact.name != node.settings.host:
                     node.chooser.observe(fact.name, _loads_decoder.decode(fact.value))
 
@@ -119,6 +122,10 @@
         value = msgspec.json.encode(entry)
         self.publish([Fact(CONFIGURATION_FACT, "head", version, value)])
 
+    def publish_era(self, previous_era: int, era: int) -> None:
+        """Publish that the key-value service has returned from an older copy."""
+        self.publish([Fact(STORE_ERA_FACT, "era", Version(era), b"")])
+
     def _publish_loads(self) -> None:
         """Publish this daemon's load at the endpoints where it is highest."""
         node = self._node
--- a/src/amaranthhollow/daemon/service.py
+++ b/src/amaranthhollow/daemon/service.py
@@ -75,6 +75,8 @@
         self._configuration_sync = ConfigurationSync(node, store)
         self._gossiper = Gossiper(node, self._configuration_sync.note_revision)
         self._configuration_sync.set_gossiper(self._gossiper)
+        node.store.add_restore_listener(self._gossiper.publish_era)
+        node.store.add_restore_listener(self._configuration_sync.store_restored)
         node.publish_crash_evidence = self._gossiper.publish_crash_evidence
         self._discovery = Discovery(node, self._gossiper, self._on_reclaim)
         self._peer_handler = DaemonPeerHandler(
--- a/src/amaranthhollow/decisions/claim_messages.py
+++ b/src/amaranthhollow/decisions/claim_messages.py
@@ -16,10 +16,12 @@
         ClaimState,
         Segment,
     )
+    from amaranthhollow.decisions.store_position import StorePosition
 
 __all__ = [
     "Action",
     "ClaimRequested",
+    "ClaimHeld",
     "ClaimWithdrawn",
     "DeleteAnswer",
     "DeleteSegment",
@@ -38,6 +40,7 @@
     "SegmentWritten",
     "ServiceFailed",
     "ScheduleRetry",
+    "StoreRestored",
     "WriteConflicted",
     "WriteHead",
     "WriteSegment",
@@ -79,12 +82,28 @@
     answer: Answer | None = None
 
 
+@dataclass(frozen=True)
+class ClaimHeld:
+    """Another daemon made this claim or its outcome durable for this one."""
+
+    record: ClaimRecord
+
+
+@dataclass(frozen=True)
+class StoreRestored:
+    """The service returned from an older copy, which may lack claims granted since."""
+
+
 @dataclass(frozen=True)
 class HeadLoaded:
-    """The service returned the shard's head; ``revision`` is 0 if it has none."""
+    """The service returned the shard's head.
+
+    ``position`` is None if the shard has none yet in the current era of the service;
+    ``head`` is then the newest one of an earlier era, or empty.
+    """
 
     head: ClaimHead
-    revision: int
+    position: StorePosition | None
 
 
 @dataclass(frozen=True)
@@ -103,14 +122,14 @@
 
 @dataclass(frozen=True)
 class WriteSucceeded:
-    """The head was written and is now at ``revision``."""
+    """The head was written and is now at ``position``."""
 
-    revision: int
+    position: StorePosition
 
 
 @dataclass(frozen=True)
 class WriteConflicted:
-    """The head was not written, because its revision had changed."""
+    """The head was not written, because it had changed."""
 
 
 @dataclass(frozen=True)
@@ -164,10 +183,10 @@
 
 @dataclass(frozen=True)
 class WriteHead:
-    """Write the head if its revision is still ``expected_revision``."""
+    """Write the head if its position is still ``expected_position``."""
 
     head: ClaimHead
-    expected_revision: int
+    expected_position: StorePosition | None
 
 
 @dataclass(frozen=True)
@@ -211,6 +230,8 @@
     ClaimRequested
     | ClaimWithdrawn
     | OutcomeReported
+    | ClaimHeld
+    | StoreRestored
     | HeadLoaded
     | SegmentsLoaded
     | SegmentWritten
--- a/src/amaranthhollow/decisions/claim_shard.py
+++ b/src/amaranthhollow/decisions/claim_shard.py
@@ -23,6 +23,7 @@
     from collections.abc import Mapping
 
     from amaranthhollow.decisions.claim_messages import OutcomeReported
+    from amaranthhollow.decisions.store_position import StorePosition
 
 __all__ = [
     "Batch",
@@ -44,11 +45,15 @@
 
 @dataclass(frozen=True)
 class ShardView:
-    """A shard's head at a revision, with the records of the loaded segments."""
+    """A shard's head at a position, with the records of the loaded segments.
+
+    ``is_ahead`` is whether the head has records that the service has yet to store.
+    """
 
     head: ClaimHead
-    revision: int
+    position: StorePosition | None
     records_by_segment_id: Mapping[str, RecordsByKey] = field(default_factory=dict)
+    is_ahead: bool = False
 
     @property
     def missing_segment_ids(self) -> tuple[str, ...]:
@@ -78,7 +83,7 @@
         )
         return replace(self, records_by_segment_id=MappingProxyType(loaded))
 
-    def with_head(self, head: ClaimHead, revision: int) -> ShardView:
+    def with_head(self, head: ClaimHead, position: StorePosition | None) -> ShardView:
         """Return the view of a newer head, keeping the segments that it refers to."""
         referenced = {reference.segment_id for reference in head.segments}
         kept = {
@@ -86,7 +91,7 @@
             for segment_id, records in self.records_by_segment_id.items()
             if segment_id in referenced
         }
-        return ShardView(head, revision, MappingProxyType(kept))
+        return ShardView(head, position, MappingProxyType(kept))
 
 
 @dataclass(frozen=True)
--- a/src/amaranthhollow/decisions/claim_state.py
+++ b/src/amaranthhollow/decisions/claim_state.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from amaranthhollow.decisions.claim_messages import Action, OutcomeReported
     from amaranthhollow.decisions.claim_records import ClaimRecord
     from amaranthhollow.decisions.claim_shard import Batch, ShardView, Spill
 
-__all__ = ["Phase", "ShardState", "StepResult", "WaitingClaim", "count_unwritten"]
+__all__ = [
+    "HeldRecord",
+    "Phase",
+    "ShardState",
+    "StepResult",
+    "WaitingClaim",
+    "count_unwritten",
+]
 
 
 class Phase(Enum):
@@ -37,12 +44,26 @@
     is_head_reread: bool = False
 
 
+@dataclass(frozen=True)
+class HeldRecord:
+    """A durable record that is kept in memory in case the service loses it.
+
+    Dropped at ``expires_at``, when every copy that the service may return from has it.
+    """
+
+    record: ClaimRecord
+    expires_at: float
+
+
 @dataclass(frozen=True)
 class ShardState:
     """State of the writer of one shard in one daemon.
 
     ``uncertain_claim_ids`` holds the claims in head writes that got no answer: such
-    a write may have taken effect, or may still do so.
+    a write may have taken effect, or may still do so. ``held_by_key`` are the recent
+    records that this daemon has made durable. After the service has returned from an
+    older copy, they are written again (``is_rewrite_due``), and no claim is granted
+    before ``grants_from``, so that all daemons can write theirs.
     """
 
     phase: Phase = Phase.IDLE
@@ -55,6 +76,10 @@
     retry_at: float = 0.0
     claim_write_due_at: float = 0.0
     outcome_write_due_at: float = 0.0
+    held_by_key: Mapping[bytes, HeldRecord] = field(default_factory=dict)
+    is_rewrite_due: bool = False
+    is_view_outdated: bool = False
+    grants_from: float = 0.0
 
     @property
     def write_due_at(self) -> float:
--- a/src/amaranthhollow/decisions/claims.py
+++ b/src/amaranthhollow/decisions/claims.py
@@ -4,15 +4,18 @@
 service before the request is sent to an endpoint. The claims of a shard are in one
 head value, written with compare-and-swap. Claims and outcomes that arrive during a
 write, or before the next one is due, are written together. The order of writes
-decides between daemons; the owner of a shard only reduces conflicts.
+decides between daemons; the owner of a shard only reduces conflicts. A service that
+has returned from an older copy gets the records that it lost from the daemons first.
 """
 
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from amaranthhollow.decisions.claim_messages import (
     Action,
+    ClaimHeld,
     ClaimRequested,
     ClaimWithdrawn,
     DeleteAnswer,
@@ -31,6 +34,7 @@
     SegmentsLoaded,
     SegmentWritten,
     ServiceFailed,
+    StoreRestored,
     WriteConflicted,
     WriteHead,
     WriteSegment,
@@ -43,6 +47,11 @@
     ClaimState,
 )
 from amaranthhollow.decisions.claim_resolution import resolve_waiting_claims
+from amaranthhollow.decisions.claim_restoration import (
+    hold_records,
+    mark_restored,
+    with_held_records,
+)
 from amaranthhollow.decisions.claim_shard import (
     Batch,
     ShardView,
@@ -50,6 +59,7 @@
     drop_expired,
     expired_answer_claim_ids,
     plan_spill,
+    record_with_outcome,
 )
 from amaranthhollow.decisions.claim_state import (
     Phase,
@@ -58,6 +68,9 @@
     WaitingClaim,
 )
 
+if TYPE_CHECKING:
+    from amaranthhollow.decisions.store_position import StorePosition
+
 __all__ = ["SERVICE_FAILURE_BACKOFF_SECONDS", "step"]
 
 SERVICE_FAILURE_BACKOFF_SECONDS = 0.5
@@ -76,14 +89,18 @@
             return _start_next_call(
                 replace(state, outcomes=(*state.outcomes, event)), now
             )
-        case HeadLoaded(head, revision):
-            return _head_loaded(state, head, revision, now)
+        case ClaimHeld(record):
+            return StepResult(hold_records(state, (record,), now))
+        case StoreRestored():
+            return _store_restored(state, now)
+        case HeadLoaded(head, position):
+            return _head_loaded(state, head, position, now)
         case SegmentsLoaded():
             return _segments_loaded(state, event, now)
         case SegmentWritten():
             return _segment_written(state, now)
-        case WriteSucceeded(revision):
-            return _write_succeeded(state, revision, now)
+        case WriteSucceeded(position):
+            return _write_succeeded(state, position, now)
         case WriteConflicted():
             return _start_next_call(_requeue_batch(state, is_uncertain=False), now)
         case WriteUncertain():
@@ -96,11 +113,12 @@
 
 def _request_claim(state: ShardState, event: ClaimRequested, now: float) -> StepResult:
     record = event.record
-    if now < state.retry_at:
+    available_at = max(state.retry_at, state.grants_from)
+    if now < available_at:
         if record.supersedes:
             state = _close_as_not_run(state, record)
         return StepResult(
-            state, (_refuse_as_unavailable(record), ScheduleRetry(state.retry_at))
+            state, (_refuse_as_unavailable(record), ScheduleRetry(available_at))
         )
     waiting = (*state.waiting, WaitingClaim(record))
     return _start_next_call(replace(state, waiting=waiting), now)
@@ -141,11 +159,17 @@
     )
 
 
+def _store_restored(state: ShardState, now: float) -> StepResult:
+    """Refuse all waiting claims, and write the held records again."""
+    refused = _refuse_waiting_claims(mark_restored(state, now))
+    return refused.then(_start_next_call(refused.state, now))
+
+
 def _head_loaded(
-    state: ShardState, head: ClaimHead, revision: int, now: float
+    state: ShardState, head: ClaimHead, position: StorePosition | None, now: float
 ) -> StepResult:
-    previous = state.view or ShardView(ClaimHead(), 0)
-    view = previous.with_head(head, revision)
+    previous = state.view or ShardView(ClaimHead(), None)
+    view = previous.with_head(head, position)
     waiting = tuple(replace(w, is_head_reread=True) for w in state.waiting)
     state = replace(state, phase=Phase.IDLE, view=view, waiting=waiting, spill=None)
     return _start_next_call(state, now)
@@ -169,13 +193,18 @@
     return _start_next_call(replace(state, phase=Phase.IDLE, view=view), now)
 
 
-def _write_succeeded(state: ShardState, revision: int, now: float) -> StepResult:
+def _write_succeeded(
+    state: ShardState, position: StorePosition, now: float
+) -> StepResult:
     batch = state.batch
     granted = {claim.claim_id for claim in batch.claims}
+    outcomes = (record_with_outcome(outcome) for outcome in batch.outcomes)
+    state = hold_records(state, (*batch.claims, *outcomes), now)
     state = replace(
         state,
         phase=Phase.IDLE,
-        view=state.view.with_head(batch.head, revision),
+        view=state.view.with_head(batch.head, position),
+        is_rewrite_due=False,
         claim_write_due_at=now + CLAIM_WRITE_INTERVAL_SECONDS,
         outcome_write_due_at=now + OUTCOME_WRITE_INTERVAL_SECONDS,
         batch=None,
@@ -212,26 +241,36 @@
     """Refuse all waiting claims immediately, and retry the outcomes later."""
     if state.batch is not None:
         state = _requeue_batch(state, is_uncertain=False)
-    refused = tuple(w.record for w in state.waiting)
     retry_at = now + SERVICE_FAILURE_BACKOFF_SECONDS
+    refused = _refuse_waiting_claims(state)
     state = replace(
-        state, phase=Phase.IDLE, view=None, waiting=(), spill=None, retry_at=retry_at
+        refused.state, phase=Phase.IDLE, view=None, spill=None, retry_at=retry_at
     )
+    if not (state.outcomes or state.is_rewrite_due):
+        return StepResult(state, refused.actions)
+    return StepResult(state, (*refused.actions, ScheduleRetry(retry_at)))
+
+
+def _refuse_waiting_claims(state: ShardState) -> StepResult:
+    """Refuse the claims that are not being written."""
+    refused = tuple(w.record for w in state.waiting)
+    state = replace(state, waiting=())
     for record in refused:
         if record.supersedes or record.claim_id in state.uncertain_claim_ids:
             state = _close_as_not_run(state, record)
-    actions: tuple[Action, ...] = tuple(
-        _refuse_as_unavailable(record) for record in refused
-    )
-    if state.outcomes:
-        actions = (*actions, ScheduleRetry(retry_at))
-    return StepResult(state, actions)
+    return StepResult(state, tuple(map(_refuse_as_unavailable, refused)))
 
 
 def _start_next_call(state: ShardState, now: float) -> StepResult:
     """Start the next call to the service if one is needed and none is in progress."""
-    is_needed = bool(state.waiting or state.outcomes)
-    if state.phase is not Phase.IDLE or not is_needed:
+    if state.phase is not Phase.IDLE:
+        return StepResult(state)
+    if state.is_view_outdated:
+        state = replace(state, view=None, spill=None, is_view_outdated=False)
+    if state.waiting and now < state.grants_from:
+        refused = _refuse_waiting_claims(state)
+        return refused.then(_start_next_call(refused.state, now))
+    if not (state.waiting or state.outcomes or state.is_rewrite_due):
         return StepResult(state)
     if now < state.retry_at:
         return StepResult(state, (ScheduleRetry(state.retry_at),))
@@ -241,11 +280,12 @@
     if segment_ids:
         state = replace(state, phase=Phase.LOADING_SEGMENTS)
         return StepResult(state, (LoadSegments(segment_ids),))
+    state = with_held_records(state, now)
     resolved = resolve_waiting_claims(state)
     if resolved.state.view is None:
         return resolved.then(_start_next_call(resolved.state, now))
     state = resolved.state
-    if not (state.waiting or state.outcomes):
+    if not (state.waiting or state.outcomes or state.is_rewrite_due):
         return resolved
     if now < state.write_due_at:
         return resolved.then(StepResult(state, (ScheduleRetry(state.write_due_at),)))
@@ -279,7 +319,7 @@
     state = replace(
         state, phase=Phase.WRITING_HEAD, waiting=(), outcomes=(), batch=batch
     )
-    return StepResult(state, (WriteHead(head, view.revision),))
+    return StepResult(state, (WriteHead(head, view.position),))
 
 
 def _add_claims(head: ClaimHead, claims: tuple[ClaimRecord, ...]) -> ClaimHead:
--- a/src/amaranthhollow/decisions/control.py
+++ b/src/amaranthhollow/decisions/control.py
@@ -2,9 +2,9 @@
 
 One daemon at a time holds a deployment's lease. It counts the lease from before it
 requested it, so by its own clock it stops before the key-value service grants the lease
-to another daemon. The fencing token of an order is the revision at which the lease's
-key was created, which only increases. Orders state the desired version, so they are
-idempotent.
+to another daemon. The fencing token of an order is the position of the store at which
+the lease's key was created, which only increases. Orders state the desired version, so
+they are idempotent.
 """
 
 from __future__ import annotations
@@ -17,7 +17,15 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["HeldLease", "Order", "ModelVersion", "may_send_order", "missing_orders"]
+__all__ = [
+    "LEASE_SECONDS",
+    "ORDER_TIMEOUT_SECONDS",
+    "HeldLease",
+    "ModelVersion",
+    "Order",
+    "may_send_order",
+    "missing_orders",
+]
 
 LEASE_SECONDS = 5
 ORDER_TIMEOUT_SECONDS = 1.0
--- a/src/amaranthhollow/decisions/duties.py
+++ b/src/amaranthhollow/decisions/duties.py
@@ -3,6 +3,10 @@
 The holder counts the lease from before it requested each renewal, so it stops before
 the store grants the lease to another host. A host that has lost the lease contends
 again only after a full lease period, so that two holders cannot alternate within one.
+
+A store that returns from an older copy has lost leases that it granted. So the holder
+stops as soon as it sees the new era, and nobody contends until the last lease that the
+store can have granted before has expired.
 """
 
 from __future__ import annotations
@@ -36,12 +40,17 @@
 
 @dataclass(frozen=True)
 class DutyState:
-    """One host's view of the duty lease, whether or not it holds it."""
+    """One host's view of the duty lease, whether or not it holds it.
+
+    ``was_holder_at_restore`` is whether this host held the lease when it saw that the
+    store had been restored, so that no other host has carried out the duties since.
+    """
 
     lease_seconds: float
     held_lease: HeldLease | None = None
     observed_holder: ObservedHolder | None = None
     contends_at: float = 0.0
+    was_holder_at_restore: bool = False
 
     def acquired(self, fencing_token: int, requested_at: float) -> DutyState:
         """Return the state after the lease was granted."""
@@ -62,8 +71,23 @@
         backoff = (
             self.lease_seconds if self.held_lease is not None else CONTEND_STEP_SECONDS
         )
+        contends_at = max(self.contends_at, now + backoff + CALL_MARGIN_SECONDS)
+        return replace(self, held_lease=None, contends_at=contends_at)
+
+    def store_restored(self, now: float) -> DutyState:
+        """Return the state after the store has returned from an older copy.
+
+        The previous holder contends first, since it knows which calls it has made.
+        """
+        was_holder = self.held_lease is not None and not self.is_expired(now)
+        contends_at = now + self.lease_seconds + CALL_MARGIN_SECONDS
+        if not was_holder:
+            contends_at += CONTEND_STEP_SECONDS
         return replace(
-            self, held_lease=None, contends_at=now + backoff + CALL_MARGIN_SECONDS
+            self,
+            held_lease=None,
+            contends_at=max(self.contends_at, contends_at),
+            was_holder_at_restore=was_holder,
         )
 
     def observe_holder(self, holder: ObservedHolder) -> DutyState:
--- a/src/amaranthhollow/decisions/endpoints.py
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -169,9 +169,11 @@
         return endpoint_fact(item)
 
     def apply(self, fact: Fact, now: float) -> Endpoint:
-        """Apply a fact that gossip reported as new."""
+        """Apply a fact that gossip reported as new, unless its incarnation is older."""
         item = msgspec.msgpack.decode(fact.value, type=ListedEndpoint)
         previous = self._by_host.get(item.host)
+        if previous is not None and item.incarnation < previous.listed.incarnation:
+            return previous
         if previous is None or previous.listed.incarnation < item.incarnation:
             previous = Endpoint(item, self._chart.initial_state)
         event = _EVENTS_BY_STATUS[item.status]
--- a/src/amaranthhollow/decisions/gossip.py
+++ b/src/amaranthhollow/decisions/gossip.py
@@ -26,6 +26,7 @@
 __all__ = [
     "BUCKET_COUNT",
     "LOAD_FACT",
+    "STORE_ERA_FACT",
     "Fact",
     "GossipMessage",
     "GossipTable",
@@ -35,6 +36,7 @@
 
 BUCKET_COUNT = 16
 LOAD_FACT = "load"
+STORE_ERA_FACT = "store-era"
 MAX_LOAD_BYTES = 256
 MAX_MESSAGE_BYTES = 4096
 MESSAGE_OVERHEAD_BYTES = BUCKET_COUNT * 8 + 64
--- a/src/amaranthhollow/entry/duty_lease.py
+++ b/src/amaranthhollow/entry/duty_lease.py
@@ -10,13 +10,13 @@
 
 from amaranthhollow.decisions.duties import ObservedHolder
 from amaranthhollow.platform.names import SYSTEM_KEY_PREFIX
-from amaranthhollow.platform.store import Write
+from amaranthhollow.platform.store import Lease, Write
 from amaranthhollow.serving.clock import now
 
 if TYPE_CHECKING:
     from amaranthhollow.entry.host import Host
 
-__all__ = ["HOLDER_KEY", "DutyLease"]
+__all__ = ["DutyLease", "era_key", "holder_key"]
 
 HOLDER_KEY = f"{SYSTEM_KEY_PREFIX}duties/holder"
 POLL_INTERVAL_SECONDS = 0.1
@@ -27,13 +27,27 @@
 log = logbook.Logger("duties")
 
 
+def era_key(key: str, era: int) -> str:
+    """Return the name of an item in an era of the store.
+
+    A host that does not know yet that the store was restored cannot change the items
+    of the new era, even if one of them has the revision that it expects.
+    """
+    return f"{key}-{era}" if era else key
+
+
+def holder_key(era: int) -> str:
+    """Return the key of the item that names the holder of the duties."""
+    return era_key(HOLDER_KEY, era)
+
+
 class DutyLease:
     """Acquires, renews and releases the lease of the duties for one host."""
 
     def __init__(self, host: Host) -> None:
         """Contend for the lease on behalf of ``host``."""
         self._host = host
-        self._lease_id = 0
+        self._lease = Lease(0, 0.0)
         self._renew_at = 0.0
 
     async def run(self) -> None:
@@ -62,18 +76,18 @@
             return
         host.duty = host.duty.released(host.name)
         log.info("duties released")
-        await host.store.end(self._lease_id, CALL_TIMEOUT_SECONDS)
+        await host.store.end(self._lease, CALL_TIMEOUT_SECONDS)
 
     async def _renew(self) -> None:
         host, requested_at = self._host, now()
         interval = host.duty.lease_seconds / RENEWALS_PER_LEASE
         self._renew_at = requested_at + interval
-        renewed = await host.store.renew(self._lease_id, CALL_TIMEOUT_SECONDS)
+        renewed = await host.store.renew(self._lease, CALL_TIMEOUT_SECONDS)
         if isinstance(renewed, Err):
             return
         if renewed.ok_value:
             host.duty = host.duty.renewed(requested_at)
-        else:
+        elif host.duty.held_lease is not None:
             self._mark_lost("expired")
 
     async def _contend(self) -> None:
@@ -82,26 +96,27 @@
         if isinstance(granted, Err):
             host.duty = host.duty.lost(now())
             return
-        lease_id = granted.ok_value.lease_id
-        write = Write(HOLDER_KEY, host.name.encode(), lease_id)
-        created = await host.store.change(
-            {HOLDER_KEY: 0}, (write,), CALL_TIMEOUT_SECONDS
-        )
+        lease = granted.ok_value
+        key = holder_key(lease.era)
+        write = Write(key, host.name.encode(), lease.lease_id)
+        created = await host.store.change({key: None}, (write,), CALL_TIMEOUT_SECONDS)
         if isinstance(created, Err) or created.ok_value is None:
             # Ending the lease also reverts a write whose response was lost.
-            await host.store.end(lease_id, CALL_TIMEOUT_SECONDS)
+            await host.store.end(lease, CALL_TIMEOUT_SECONDS)
             host.duty = host.duty.lost(now())
             await self._read_holder()
             return
-        self._lease_id = lease_id
+        self._lease = lease
         self._renew_at = requested_at + host.duty.lease_seconds / RENEWALS_PER_LEASE
-        host.duty = host.duty.acquired(created.ok_value, requested_at)
-        log.info("duties acquired", extra={"fencing_token": created.ok_value})
+        fencing_token = created.ok_value.fencing_token
+        host.duty = host.duty.acquired(fencing_token, requested_at)
+        log.info("duties acquired", extra={"fencing_token": fencing_token})
 
     async def _read_holder(self) -> None:
         """Read the holder of the lease, so as not to contend until it expires."""
         host = self._host
-        found = await host.store.get(HOLDER_KEY, CALL_TIMEOUT_SECONDS)
+        key = holder_key(host.store.era)
+        found = await host.store.get(key, CALL_TIMEOUT_SECONDS)
         if isinstance(found, Err) or found.ok_value is None:
             return
         item = found.ok_value
@@ -109,7 +124,7 @@
         if holder != host.name:
             expires_at = now() + host.duty.lease_seconds
             observed_holder = ObservedHolder(
-                holder, item.created_at_revision, expires_at
+                holder, item.created_at.fencing_token, expires_at
             )
             host.duty = host.duty.observe_holder(observed_holder)
 
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import logbook
+
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.retries import RetryBudget
 from amaranthhollow.serving.clock import now
@@ -25,6 +27,8 @@
 
 __all__ = ["Host"]
 
+log = logbook.Logger("host")
+
 
 @dataclass
 class Host:
@@ -48,6 +52,7 @@
     host_counts: HostCounts = field(default_factory=HostCounts)
     reachable_hosts: tuple[str, ...] = ()
     is_draining: bool = False
+    store_restored_at: float | None = None
 
     @property
     def name(self) -> str:
@@ -58,6 +63,24 @@
         """Return the time that the hosts agree on, in seconds since the Unix epoch."""
         return self.clock.wall_time(now())
 
+    def store_restored(self, previous_era: int, era: int) -> None:
+        """Give up what the store has lost by returning from an older copy."""
+        instant = now()
+        self.store_restored_at = instant
+        held_lease = self.duty.held_lease
+        self.duty = self.duty.store_restored(instant)
+        self.site.store_restored(instant)
+        log.warning(
+            "store restored from an older copy",
+            extra={
+                "previous_era": previous_era,
+                "previous_revision": self.site.snapshot.revision,
+                "era": era,
+                "held_duties": held_lease is not None,
+                "duties_from": round(self.duty.contends_at - instant, 2),
+            },
+        )
+
     @property
     def process_id(self) -> str:
         """The host's name and incarnation, which identify this run of the daemon."""
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -12,6 +12,7 @@
 from amaranthhollow.decisions.freshness import freshness_from_peer
 from amaranthhollow.decisions.gossip import PeerRotation
 from amaranthhollow.decisions.quota import HostCounts
+from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.decisions.usage import merge_counts
 from amaranthhollow.entry.peer_documents import (
     CONFIGURATION_TARGET,
@@ -232,6 +233,8 @@
             holder,
             token,
             remaining_seconds,
+            host.store.era,
+            site.snapshot.era,
         )
 
     def _apply_report(self, name: str, incarnation: int, report: HostReport) -> None:
@@ -258,6 +261,7 @@
         self, name: str, report: FreshnessReport, sent_at: float
     ) -> None:
         site = self._host.site
+        self._host.store.observe_era(report.store_era)
         if report.configuration_age >= 0:
             freshness = freshness_from_peer(sent_at, report.configuration_age)
             if report.configuration_version > site.version:
@@ -267,7 +271,8 @@
             site.confirm_configuration(report.configuration_version, freshness)
         if report.endpoints_age >= 0:
             freshness = freshness_from_peer(sent_at, report.endpoints_age)
-            is_newer = report.endpoints_revision > site.snapshot.revision
+            position = StorePosition(report.endpoints_era, report.endpoints_revision)
+            is_newer = position > site.snapshot.position
             if is_newer and report.endpoints_fingerprint != site.fingerprint:
                 self._documents.fetch(name, ENDPOINTS_TARGET, freshness.confirmed_at)
             site.confirm_endpoints(report.endpoints_fingerprint, freshness)
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -210,7 +210,7 @@
     bounds = settings.bounds
     site = SiteState(SiteDecoders(decode_configuration, decode_endpoint))
     membership = Membership(settings.host, incarnation, info)
-    return Host(
+    host = Host(
         settings=settings,
         incarnation=incarnation,
         site=site,
@@ -228,6 +228,8 @@
             starts_empty=not settings.is_first_start,
         ),
     )
+    host.store.add_restore_listener(host.store_restored)
+    return host
 
 
 def _split_address(address: str) -> tuple[str, int]:
--- a/src/amaranthhollow/entry/site_sync.py
+++ b/src/amaranthhollow/entry/site_sync.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from amaranthhollow.entry.host import Host
-    from amaranthhollow.platform.store import Snapshot
+    from amaranthhollow.platform.store import Lease, Snapshot
 
 __all__ = ["HostRegistration", "SiteSync"]
 
@@ -36,6 +36,7 @@
 HOSTS_PREFIX = f"{SYSTEM_KEY_PREFIX}hosts/"
 REGISTRATION_LEASE_SECONDS = 10.0
 RENEWAL_INTERVAL_SECONDS = 3.0
+REGISTRATION_POLL_SECONDS = 0.5
 # The second read of the list finds hosts that started at the same time.
 LIST_INTERVAL_SECONDS = 2.0
 
@@ -96,7 +97,9 @@
             return False
         item = result.ok_value
         if item is not None:
-            host.site.apply_configuration(item.value, requested_at)
+            is_current = host.site.is_configuration_current(requested_at)
+            confirmed_at = requested_at if is_current else None
+            host.site.apply_configuration(item.value, confirmed_at)
         return True
 
     async def _read_endpoints(self, requested_at: float) -> bool:
@@ -115,37 +118,45 @@
     def __init__(self, host: Host) -> None:
         """Register ``host``."""
         self._host = host
-        self._lease_id: int | None = None
+        self._lease: Lease | None = None
+        self._next_renewal_at = 0.0
         self._next_list_at = 0.0
         self._remaining_lists = 2
 
     async def run(self) -> None:
         """Register, renew and list until cancelled."""
         while True:
-            await self._renew_or_register()
+            if self._is_renewal_due():
+                await self._renew_or_register()
             await self._list_if_due()
-            has_no_peers = not self._host.reachable_hosts
-            delay = (
-                RENEWAL_INTERVAL_SECONDS if self._lease_id and not has_no_peers else 0.5
-            )
-            await asyncio.sleep(delay)
+            await asyncio.sleep(REGISTRATION_POLL_SECONDS)
+
+    def _is_renewal_due(self) -> bool:
+        """Return whether to renew, or to register anew in a restored store."""
+        lease, host = self._lease, self._host
+        is_registered = lease is not None and lease.era == host.store.era
+        has_no_peers = not host.reachable_hosts
+        return not is_registered or has_no_peers or now() >= self._next_renewal_at
 
     async def _renew_or_register(self) -> None:
         store = self._host.store
-        if self._lease_id is not None:
-            renewed = await store.renew(self._lease_id, CALL_TIMEOUT_SECONDS)
+        self._next_renewal_at = now() + RENEWAL_INTERVAL_SECONDS
+        if self._lease is not None:
+            renewed = await store.renew(self._lease, CALL_TIMEOUT_SECONDS)
             if isinstance(renewed, Err) or renewed.ok_value:
                 return
-        self._lease_id = None
+        self._lease = None
         granted = await store.grant(REGISTRATION_LEASE_SECONDS, CALL_TIMEOUT_SECONDS)
         if isinstance(granted, Err):
             return
-        lease_id = granted.ok_value.lease_id
+        lease = granted.ok_value
         key = f"{HOSTS_PREFIX}{self._host.name}"
-        write = Write(key, msgspec.msgpack.encode(_daemon_info(self._host)), lease_id)
+        value = msgspec.msgpack.encode(_daemon_info(self._host))
+        write = Write(key, value, lease.lease_id)
         written = await store.change({}, (write,), CALL_TIMEOUT_SECONDS)
         if not isinstance(written, Err) and written.ok_value is not None:
-            self._lease_id = lease_id
+            self._lease = lease
+            log.info("host registered", extra={"era": lease.era})
 
     async def _list_if_due(self) -> None:
         has_no_peers = not self._host.reachable_hosts
@@ -177,7 +188,10 @@
 
 def _endpoint_snapshot(snapshot: Snapshot) -> EndpointSnapshot:
     entries = tuple(
-        StoredEntry(item.key.removeprefix(ENDPOINT_PREFIX), item.value, item.revision)
+        StoredEntry(
+            item.key.removeprefix(ENDPOINT_PREFIX), item.value, item.position.revision
+        )
         for item in snapshot.items
     )
-    return EndpointSnapshot(snapshot.revision, entries)
+    position = snapshot.position
+    return EndpointSnapshot(position.revision, entries, position.era)
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -9,8 +9,9 @@
 import msgspec
 from result import Err
 
+from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.decisions.usage import RETAINED_WINDOWS, CountsByWindow, sum_counts
-from amaranthhollow.entry.duty_lease import HOLDER_KEY
+from amaranthhollow.entry.duty_lease import era_key, holder_key
 from amaranthhollow.platform.cloud import DutyHolder, encode_usage_report
 from amaranthhollow.platform.names import SYSTEM_KEY_PREFIX
 from amaranthhollow.platform.store import Write
@@ -28,6 +29,8 @@
 WINDOW_CLOSE_DELAY_SECONDS = 1.5
 CALL_TIMEOUT_SECONDS = 0.8
 MAX_STORED_REPORTS = 8
+# In place of a report that may have been sent with content that no host knows.
+NOT_TO_BE_SENT = b""
 # If all hosts fail at once, counts since the last save are lost.
 SAVE_INTERVAL_SECONDS = 1.0
 
@@ -37,8 +40,8 @@
 class UsageLedger(msgspec.Struct, frozen=True, array_like=True):
     """Reports and counts that the holder of the duties stores for its successor.
 
-    ``reports`` are the exact bytes sent by window, ``counts`` the requests that each
-    process started, by process, window and workspace.
+    ``reports`` are the exact bytes sent by window, or ``NOT_TO_BE_SENT``; ``counts``
+    the requests that each process started, by process, window and workspace.
     """
 
     reports: dict[int, bytes]
@@ -54,6 +57,11 @@
     A new holder sends the stored bytes again, so that two reports of a window never
     differ. The counts of all hosts are stored with them at short intervals, so that
     they survive a failure of all hosts at once.
+
+    A store that returns from an older copy may have lost reports that were sent. The
+    first holder in a new era stores those that it sent itself again. If it was not the
+    holder when the store was restored, it does not report the windows that were closed
+    by then and whose report it does not know.
     """
 
     def __init__(self, host: Host, cloud: CloudClient) -> None:
@@ -61,8 +69,9 @@
         self._host = host
         self._cloud = cloud
         self._ledger = EMPTY_LEDGER
-        self._revision = 0
+        self._position: StorePosition | None = None
         self._fencing_token = 0
+        self._own_reports: dict[int, bytes] = {}
         self._sent_windows: set[int] = set()
         self._next_save_at = 0.0
         self._first_window = host.usage.window_at(host.wall_time())
@@ -89,7 +98,7 @@
         """Return the windows that are closed, not yet sent and not overdue."""
         usage, bounds = self._host.usage, self._host.settings.bounds
         wall = self._host.wall_time()
-        last_closed_window = usage.window_at(wall - WINDOW_CLOSE_DELAY_SECONDS) - 1
+        last_closed_window = self._last_closed_window(wall)
         last_overdue_window = usage.window_at(wall - bounds.usage_due) - 1
         first = max(last_overdue_window, self._first_window)
         return [
@@ -98,19 +107,59 @@
             if w not in self._sent_windows
         ]
 
+    def _last_closed_window(self, wall_time: float) -> int:
+        """Return the last window whose counts were complete at ``wall_time``."""
+        closed_until = wall_time - WINDOW_CLOSE_DELAY_SECONDS
+        return self._host.usage.window_at(closed_until) - 1
+
     async def _load_ledger(self, fencing_token: int) -> None:
         """Read the ledger that the previous holder stored."""
-        found = await self._host.store.get(USAGE_KEY, CALL_TIMEOUT_SECONDS)
+        store = self._host.store
+        era = StorePosition.from_fencing_token(fencing_token).era
+        found = await store.get(era_key(USAGE_KEY, era), CALL_TIMEOUT_SECONDS)
         if isinstance(found, Err):
             return
-        self._ledger, self._revision = EMPTY_LEDGER, 0
         if found.ok_value is not None:
-            self._revision = found.ok_value.revision
+            self._position = found.ok_value.position
             self._ledger = _decode_ledger(found.ok_value.value)
+        elif era == 0:
+            self._ledger, self._position = EMPTY_LEDGER, None
+        else:
+            listed = await store.list(USAGE_KEY, CALL_TIMEOUT_SECONDS)
+            if isinstance(listed, Err):
+                return
+            values = [item.value for item in listed.ok_value.items]
+            self._ledger, self._position = self._restored_ledger(values), None
         self._merge_stored_counts(self._ledger.counts)
         self._sent_windows.clear()
         self._fencing_token = fencing_token
 
+    def _restored_ledger(self, values: list[bytes]) -> UsageLedger:
+        """Return the first ledger of a new era, from the stored ones of earlier eras.
+
+        No host has reported another window since the store was restored, because a
+        report is stored before it is sent.
+        """
+        reports: dict[int, bytes] = {}
+        counts: dict[str, CountsByWindow] = {}
+        for ledger in map(_decode_ledger, values):
+            reports |= ledger.reports
+            counts |= ledger.counts
+        reports |= self._own_reports
+        if not self._host.duty.was_holder_at_restore:
+            seconds_since = now() - (self._host.store_restored_at or 0.0)
+            last = self._last_closed_window(self._host.wall_time() - seconds_since)
+            unknown = range(last - RETAINED_WINDOWS, last + 1)
+            reports = {**dict.fromkeys(unknown, NOT_TO_BE_SENT), **reports}
+        log.info(
+            "usage ledger set up in a restored store",
+            extra={
+                "windows": sorted(reports),
+                "unknown": sorted(w for w in reports if not reports[w]),
+            },
+        )
+        return UsageLedger(reports, counts)
+
     def _merge_stored_counts(self, counts: dict[str, CountsByWindow]) -> None:
         """Add the counts of processes that have sent no report to this host."""
         host = self._host
@@ -122,6 +171,10 @@
 
     async def _report_window(self, window: int, fencing_token: int) -> None:
         report = self._ledger.reports.get(window)
+        if report == NOT_TO_BE_SENT:
+            self._sent_windows.add(window)
+            log.warning("usage not reported", extra={"window": window})
+            return
         if report is None:
             total = sum_counts(window, self._all_counts().values())
             report = encode_usage_report(window, total)
@@ -161,12 +214,13 @@
         for process in self._host.usage_by_process.keys() - counts.keys():
             del self._host.usage_by_process[process]
         ledger = UsageLedger(reports, counts)
-        if ledger == self._ledger:
+        if ledger == self._ledger and self._position is not None:
             return True
-        write = Write(USAGE_KEY, msgspec.msgpack.encode(ledger))
+        holder_position = StorePosition.from_fencing_token(self._fencing_token)
+        key = era_key(USAGE_KEY, holder_position.era)
         stored = await self._host.store.change(
-            {HOLDER_KEY: self._fencing_token, USAGE_KEY: self._revision},
-            (write,),
+            {holder_key(holder_position.era): holder_position, key: self._position},
+            (Write(key, msgspec.msgpack.encode(ledger)),),
             CALL_TIMEOUT_SECONDS,
         )
         if isinstance(stored, Err) or stored.ok_value is None:
@@ -174,7 +228,8 @@
             # round reads the stored ledger again.
             self._fencing_token = 0
             return False
-        self._ledger, self._revision = ledger, stored.ok_value
+        self._ledger, self._position = ledger, stored.ok_value
+        self._own_reports = {w: report for w, report in reports.items() if report}
         return True
 
 
--- a/src/amaranthhollow/peers/claim_router.py
+++ b/src/amaranthhollow/peers/claim_router.py
@@ -13,7 +13,11 @@
 import msgspec
 from result import Err, Ok, Result
 
-from amaranthhollow.decisions.claim_messages import RefusalReason, RefuseClaim
+from amaranthhollow.decisions.claim_messages import (
+    GrantClaim,
+    RefusalReason,
+    RefuseClaim,
+)
 from amaranthhollow.decisions.claim_records import shard_of
 from amaranthhollow.decisions.rendezvous import owner
 from amaranthhollow.peers.claim_replies import (
@@ -85,6 +89,8 @@
         )
         result = _decode(reply)
         if isinstance(result, Ok) and not _is_withdrawn(result.ok_value):
+            if isinstance(result.ok_value, GrantClaim):
+                self._store.hold(record)
             return result.ok_value
         return await self._store.claim(record.make_superseding_claim(), deadline)
 
@@ -115,6 +121,11 @@
                 OUTCOME_TIMEOUT_SECONDS,
             )
             if isinstance(reply, Ok):
+                self._store.hold(
+                    msgspec.structs.replace(
+                        outcome.record, state=outcome.state, answer=prepared.answer
+                    )
+                )
                 return
         self._store.store_outcome(prepared)
 
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -39,7 +39,8 @@
     An age is the seconds from the confirmation to the sending of the message, or
     negative if the version was never confirmed. ``holder`` is the host that performs
     the duties; its lease expires in ``holder_seconds``, or has been released if that
-    is ``RELEASED_LEASE_SECONDS``.
+    is ``RELEASED_LEASE_SECONDS``. ``store_era`` is the newest era of the store that
+    the host has seen, ``endpoints_era`` the one of ``endpoints_revision``.
     """
 
     configuration_version: int
@@ -50,6 +51,8 @@
     holder: str = ""
     fencing_token: int = 0
     holder_seconds: float = 0.0
+    store_era: int = 0
+    endpoints_era: int = 0
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
--- a/src/amaranthhollow/platform/names.py
+++ b/src/amaranthhollow/platform/names.py
@@ -31,6 +31,9 @@
 KEEP_ALIVE = b"keep-alive"
 EVENT_STREAM = b"text/event-stream"
 
+# Rises by one whenever the store has returned from an older copy of itself.
+STORE_ERA = b"store-era"
+
 # Keys of the store. The operator writes the first, the endpoints write below the
 # second, and this system writes below the third.
 CONFIGURATION_KEY = "op/config"
--- a/src/amaranthhollow/serving/http_client.py
+++ b/src/amaranthhollow/serving/http_client.py
@@ -64,6 +64,7 @@
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()
 
 
 class HttpClient:
@@ -137,14 +138,15 @@
     connection: EndpointConnection,
 ) -> Result[CallResponse, CallError]:
     status = 0
+    headers: tuple[Header, ...] = ()
     body = bytearray()
     while True:
         match await connection.read():
             case ResponseHead() as head:
-                status = head.status
+                status, headers = head.status, head.headers
             case BodyPart(data):
                 body += data
             case ResponseEnd():
-                return Ok(CallResponse(status, bytes(body)))
+                return Ok(CallResponse(status, bytes(body), headers))
             case ConnectionLost() as loss:
                 return Err(CallError(CallFailure.UNCERTAIN, loss.detail))
--- a/src/amaranthhollow/state/claim_store.py
+++ b/src/amaranthhollow/state/claim_store.py
@@ -5,11 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import logbook
 import msgspec
 from result import Err, Ok, Result
 
 from amaranthhollow.decisions.claim_messages import (
     Action,
+    ClaimHeld,
     ClaimRequested,
     ClaimWithdrawn,
     DeleteAnswer,
@@ -29,6 +31,7 @@
     SegmentsLoaded,
     SegmentWritten,
     ServiceFailed,
+    StoreRestored,
     WriteConflicted,
     WriteHead,
     WriteSegment,
@@ -45,6 +48,7 @@
     encode_segment,
     shard_of,
 )
+from amaranthhollow.decisions.claim_restoration import mark_restored
 from amaranthhollow.decisions.claim_state import ShardState, count_unwritten
 from amaranthhollow.decisions.claims import step
 from amaranthhollow.platform.store import Write
@@ -64,6 +68,8 @@
 MAX_STORED_ANSWER_BYTES = 900_000
 KEY_PREFIX = "amaranthhollow/claims"
 
+log = logbook.Logger("claims")
+
 
 class ClaimStore:
     """Executes the actions of the claim state machines, one per shard.
@@ -76,9 +82,11 @@
         """Use the service through ``store``; ``clock`` returns Unix seconds."""
         self._store = store
         self._clock = clock
+        self._initial_state = ShardState()
         self._states_by_shard: dict[int, ShardState] = {}
         self._results_by_claim_id: dict[str, asyncio.Future[ClaimResult]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        store.add_restore_listener(self._store_restored)
 
     @property
     def unfinished_count(self) -> int:
@@ -87,7 +95,7 @@
 
     def shard_state(self, shard: int) -> ShardState:
         """Return the state of a shard's writer."""
-        return self._states_by_shard.get(shard, ShardState())
+        return self._states_by_shard.get(shard, self._initial_state)
 
     async def claim(self, record: ClaimRecord, deadline: float) -> ClaimResult:
         """Claim a key; the request may be sent only if the result is GrantClaim.
@@ -121,6 +129,13 @@
         event = OutcomeReported(outcome.record, outcome.state, outcome.answer)
         self._apply_event(shard_of(outcome.record.key_digest), event)
 
+    def hold(self, record: ClaimRecord) -> None:
+        """Keep a record that another daemon made durable, in case the store loses it.
+
+        Pass a claim before its request is sent, and its record with the outcome later.
+        """
+        self._apply_event(shard_of(record.key_digest), ClaimHeld(record))
+
     async def store_large_answer(self, outcome: ClaimOutcome) -> ClaimOutcome:
         """Store a large answer under its own key and return the outcome without it.
 
@@ -152,11 +167,25 @@
         if len(answer.body) > MAX_STORED_ANSWER_BYTES:
             return None
         key = _answer_key(record.claim_id)
-        stored = await self._store.change({key: 0}, (Write(key, answer.body),))
+        stored = await self._store.change({key: None}, (Write(key, answer.body),))
         if isinstance(stored, Err):
             return None
         return msgspec.structs.replace(answer, body=b"", stored_separately=True)
 
+    def _store_restored(self, previous_era: int, era: int) -> None:
+        self._initial_state = mark_restored(ShardState(), self._clock())
+        held_count = 0
+        for shard, state in list(self._states_by_shard.items()):
+            held_count += len(state.held_by_key)
+            self._apply_event(shard, StoreRestored())
+        log.warning(
+            "the key-value service returned from an older copy, era {} to {}; writing "
+            "{} claims again and granting none for a while",
+            previous_era,
+            era,
+            held_count,
+        )
+
     def _apply_event(self, shard: int, event: Event) -> None:
         result = step(self.shard_state(shard), event, self._clock())
         self._states_by_shard[shard] = result.state
@@ -202,16 +231,21 @@
         self._apply_event(shard, event)
 
     async def _load_head(self, shard: int) -> Event:
-        found = await self._store.get(_head_key(shard))
-        if isinstance(found, Err):
-            return ServiceFailed()
-        item = found.ok_value
-        if item is None:
-            return HeadLoaded(ClaimHead(), 0)
-        try:
-            return HeadLoaded(decode_head(item.value), item.revision)
-        except msgspec.MsgspecError:
-            return ServiceFailed()
+        """Read the head of the current era, or the newest one of an earlier era."""
+        era = self._store.era
+        for head_era in range(era, -1, -1):
+            found = await self._store.get(_head_key(shard, head_era))
+            if isinstance(found, Err) or self._store.era != era:
+                return ServiceFailed()
+            item = found.ok_value
+            if item is None:
+                continue
+            position = item.position if head_era == era else None
+            try:
+                return HeadLoaded(decode_head(item.value), position)
+            except msgspec.MsgspecError:
+                return ServiceFailed()
+        return HeadLoaded(ClaimHead(), None)
 
     async def _load_segments(self, shard: int, segment_ids: tuple[str, ...]) -> Event:
         segments = {}
@@ -227,21 +261,21 @@
         """Create a segment; an existing one has the same content."""
         key = _segment_key(shard, action.segment_id)
         value = encode_segment(action.segment)
-        written = await self._store.change({key: 0}, (Write(key, value),))
+        written = await self._store.change({key: None}, (Write(key, value),))
         if isinstance(written, Err):
             return ServiceFailed()
         return SegmentWritten(action.segment_id)
 
     async def _write_head(self, shard: int, action: WriteHead) -> Event:
-        key = _head_key(shard)
+        key = _head_key(shard, self._store.era)
         written = await self._store.change(
-            {key: action.expected_revision}, (Write(key, encode_head(action.head)),)
+            {key: action.expected_position}, (Write(key, encode_head(action.head)),)
         )
         match written:
             case Ok(None):
                 return WriteConflicted()
-            case Ok(revision):
-                return WriteSucceeded(revision)
+            case Ok(position):
+                return WriteSucceeded(position)
             case Err(error):
                 return _write_failure_event(error)
 
@@ -257,8 +291,13 @@
     return ServiceFailed()
 
 
-def _head_key(shard: int) -> str:
-    return f"{KEY_PREFIX}/{shard}/head"
+def _head_key(shard: int, era: int) -> str:
+    """Return the key of a shard's head in an era of the store.
+
+    A daemon that does not know yet that the store was restored cannot change the head
+    of the new era, even if it has the revision that the daemon expects.
+    """
+    return f"{KEY_PREFIX}/{shard}/head-{era}" if era else f"{KEY_PREFIX}/{shard}/head"
 
 
 def _segment_key(shard: int, segment_id: str) -> str:
--- a/src/amaranthhollow/state/configuration_store.py
+++ b/src/amaranthhollow/state/configuration_store.py
@@ -22,8 +22,9 @@
 from amaranthhollow.serving.http_client import CallFailure
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Mapping
 
+    from amaranthhollow.decisions.store_position import StorePosition
     from amaranthhollow.platform.store import StoreClient, StoredItem
     from amaranthhollow.serving.http_client import CallError
 
@@ -121,14 +122,38 @@
         listed = await self._store.list(HEAD_KEY)
         if isinstance(listed, Err):
             return
-        items, revision = listed.ok_value.items, listed.ok_value.revision
+        items, position = listed.ok_value.items, listed.ok_value.position
         while True:
             for item in items:
                 yield _decode_head(item)
-            watched = await self._store.watch(HEAD_KEY, revision, WATCH_TIMEOUT_SECONDS)
+            watched = await self._store.watch(HEAD_KEY, position, WATCH_TIMEOUT_SECONDS)
             if isinstance(watched, Err) or watched.ok_value is None:
                 return
-            items, revision = watched.ok_value.items, watched.ok_value.revision
+            items, position = watched.ok_value.items, watched.ok_value.position
+
+    async def restore_head(
+        self, head: RevisionHead, bodies_by_change_id: Mapping[str, bytes]
+    ) -> bool:
+        """Store ``head`` again after the service returned from an older copy.
+
+        Returns whether it did: not if the service has a head that ``head`` does not
+        follow.
+        """
+        for change_id, content in list(bodies_by_change_id.items()):
+            await self._store_body(change_id, content)
+        read = await self._store.get(HEAD_KEY)
+        if isinstance(read, Err):
+            return False
+        stored = _decode_head(read.ok_value)
+        is_earlier = stored.revision < head.revision and (
+            stored.newest is None or head.find_change(stored.newest.change_id)
+        )
+        if not is_earlier:
+            return False
+        position = None if read.ok_value is None else read.ok_value.position
+        write = Write(HEAD_KEY, encode_json(head))
+        written = await self._store.change({HEAD_KEY: position}, (write,))
+        return isinstance(written, Ok) and written.ok_value is not None
 
     async def submit(self, body: RevisionBody, based_on: int, now: float) -> Submission:
         """Store ``body`` as the revision after ``based_on``, if that is the newest.
@@ -156,11 +181,11 @@
 
     async def _store_body(
         self, change_id: str, content: bytes
-    ) -> Result[int | None, CallError]:
+    ) -> Result[StorePosition | None, CallError]:
         """Create the body; safe to retry, since its key is its digest."""
         key = f"{BODY_PREFIX}/{change_id}"
         for _ in range(MAX_WRITE_ATTEMPTS):
-            stored = await self._store.change({key: 0}, (Write(key, content),))
+            stored = await self._store.change({key: None}, (Write(key, content),))
             is_definite = isinstance(stored, Ok) or (
                 stored.err_value.failure is CallFailure.NOTHING_CHANGED
             )
@@ -177,7 +202,7 @@
         if isinstance(read, Err):
             return _WriteAttempt("fail", Rejected(read.err_value.detail))
         head = _decode_head(read.ok_value)
-        head_revision = 0 if read.ok_value is None else read.ok_value.revision
+        head_position = None if read.ok_value is None else read.ok_value.position
         accepted = head.find_change(change_id)
         if accepted is not None:
             return _WriteAttempt("accept", Accepted(accepted))
@@ -186,7 +211,7 @@
         entry = HeadEntry(based_on + 1, change_id, body.author, body.note, now)
         entries = (*head.entries, entry)[-MAX_HEAD_ENTRIES:]
         write = Write(HEAD_KEY, encode_json(RevisionHead(entries)))
-        written = await self._store.change({HEAD_KEY: head_revision}, (write,))
+        written = await self._store.change({HEAD_KEY: head_position}, (write,))
         if isinstance(written, Err):
             if written.err_value.failure is CallFailure.NOTHING_CHANGED:
                 return _WriteAttempt("fail", Rejected(written.err_value.detail))
--- a/src/amaranthhollow/state/site_state.py
+++ b/src/amaranthhollow/state/site_state.py
@@ -17,6 +17,7 @@
     endpoint_fact,
 )
 from amaranthhollow.decisions.freshness import Freshness
+from amaranthhollow.decisions.store_position import StorePosition
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +35,12 @@
 # of its end (platform documentation, service discovery) and are read one read
 # interval later.
 RECOVERY_GRACE_SECONDS = 3.0
+# The operators' configuration as well; the margin is for a delayed write.
+REWRITE_SECONDS = 2.2
+# A store that returned from an older copy lists endpoints that are gone until their
+# entries expire, three heartbeats of 1.2 s later (platform documentation, service
+# discovery), and is read one read interval later.
+GONE_ENDPOINT_RETENTION_SECONDS = 4.5
 
 log = logbook.Logger("site")
 
@@ -47,16 +54,24 @@
 
 
 class EndpointSnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """All endpoint entries at one revision of the store."""
+    """All endpoint entries at one position of the store."""
 
     revision: int
     entries: tuple[StoredEntry, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position of the store at which the entries were read."""
+        return StorePosition(self.era, self.revision)
 
     @property
     def fingerprint(self) -> int:
-        """Hash of the entries, independent of the store's revision."""
+        """Hash of the entries and the era, independent of the store's revision."""
         content = [(entry.endpoint_id, entry.revision) for entry in self.entries]
-        digest = blake2b(msgspec.msgpack.encode(sorted(content)), digest_size=7)
+        salt = self.era.to_bytes(8, "big") if self.era else b""
+        encoded = msgspec.msgpack.encode(sorted(content))
+        digest = blake2b(encoded, digest_size=7, salt=salt)
         return int.from_bytes(digest.digest(), "big")
 
 
@@ -89,6 +104,9 @@
         self._entries_by_id: dict[str, StoredEntry] = {}
         self._grace_until = 0.0
         self._resumed_at = 0.0
+        self._restored_at: float | None = None
+        self._gone_incarnation_by_id: dict[str, int] = {}
+        self._gone_until = 0.0
         self._rejected_value = b""
 
     @property
@@ -96,16 +114,14 @@
         """The version of the configuration in force, or -1."""
         return -1 if self.configuration is None else self.configuration.version
 
-    def apply_configuration(self, value: bytes, confirmed_at: float) -> bool:
+    def apply_configuration(self, value: bytes, confirmed_at: float | None) -> bool:
         """Apply a configuration unless it is older; return whether it changed.
 
         ``confirmed_at`` is the time at which the read that returned ``value`` began,
-        or an earlier one.
+        or an earlier one, or None if ``value`` may not be the newest.
         """
         if value == self.configuration_value:
-            self.configuration_freshness = self.configuration_freshness.refreshed(
-                confirmed_at
-            )
+            self._confirm_configuration_at(confirmed_at)
             return False
         decoded = self._decoders.configuration(value)
         if isinstance(decoded, Err):
@@ -116,9 +132,7 @@
         previous = self.version
         self.configuration = decoded.ok_value
         self.configuration_value = value
-        self.configuration_freshness = self.configuration_freshness.refreshed(
-            confirmed_at
-        )
+        self._confirm_configuration_at(confirmed_at)
         log.info(
             "configuration applied",
             extra={"version": self.version, "previous": previous},
@@ -127,9 +141,13 @@
 
     def confirm_configuration(self, version: int, freshness: Freshness) -> None:
         """Update the freshness if a peer confirmed the applied version as newest."""
-        if version == self.version and freshness.confirmed_at is not None:
+        if version == self.version:
+            self._confirm_configuration_at(freshness.confirmed_at)
+
+    def _confirm_configuration_at(self, confirmed_at: float | None) -> None:
+        if confirmed_at is not None:
             self.configuration_freshness = self.configuration_freshness.refreshed(
-                freshness.confirmed_at
+                confirmed_at
             )
 
     def confirm_endpoints(self, fingerprint: int, freshness: Freshness) -> None:
@@ -146,7 +164,7 @@
 
         After a store outage, missing endpoints stay usable for a grace period.
         """
-        if snapshot.revision < self.snapshot.revision:
+        if snapshot.position < self.snapshot.position:
             return False
         if self._was_store_unreachable(now) and self._listed_by_id:
             self._grace_until = now + RECOVERY_GRACE_SECONDS
@@ -171,9 +189,36 @@
         self._grace_until = 0.0
         self._update_listed(now)
 
+    def store_restored(self, now: float) -> None:
+        """Record that the store has returned from an older copy of itself.
+
+        Endpoints and the operators write again what the copy lacks. Until then its
+        configuration may be older than the newest one, missing endpoints stay usable,
+        and those that were gone before are not used again.
+        """
+        self._restored_at = now
+        self._grace_until = now + RECOVERY_GRACE_SECONDS
+        self._gone_until = now + GONE_ENDPOINT_RETENTION_SECONDS
+        self._gone_incarnation_by_id |= {
+            endpoint.host: endpoint.listed.incarnation
+            for endpoint in self.endpoints.all()
+            if not endpoint.is_listed
+        }
+
+    def is_configuration_current(self, requested_at: float) -> bool:
+        """Return whether a read of the store gets the newest configuration.
+
+        It may not until the operators have written theirs to a restored store again.
+        A read that was requested before this host heard of the restore was answered
+        after it.
+        """
+        if self._restored_at is None:
+            return True
+        return requested_at >= self._restored_at + REWRITE_SECONDS
+
     def tick(self, now: float) -> None:
         """Remove missing endpoints once the grace period has ended."""
-        if 0.0 < self._grace_until <= now:
+        if 0.0 < self._grace_until <= now or 0.0 < self._gone_until <= now:
             self._update_listed(now)
 
     def _was_store_unreachable(self, now: float) -> bool:
@@ -194,8 +239,7 @@
 
     def _decode_entries(self, snapshot: EndpointSnapshot) -> None:
         for entry in snapshot.entries:
-            applied = self._entries_by_id.get(entry.endpoint_id)
-            if applied is not None and applied.revision == entry.revision:
+            if self._entries_by_id.get(entry.endpoint_id) == entry:
                 continue
             self._entries_by_id[entry.endpoint_id] = entry
             decoded = self._decoders.endpoint(entry.endpoint_id, entry.value)
@@ -206,6 +250,8 @@
                     extra={"endpoint": entry.endpoint_id, "error": decoded.err_value},
                 )
                 continue
+            if self._is_outdated(decoded.ok_value):
+                continue
             self._listed_by_id[entry.endpoint_id] = decoded.ok_value
             self._apply_entry(decoded.ok_value)
 
@@ -226,17 +272,35 @@
     def _update_listed(self, now: float) -> None:
         """Update which endpoints are listed; in a grace period, missing ones stay."""
         present = {entry.endpoint_id for entry in self.snapshot.entries}
-        listed = present & set(self._listed_by_id)
-        if now < self._grace_until:
-            listed = set(self._listed_by_id)
-        else:
+        is_in_grace = now < self._grace_until
+        if not is_in_grace:
             self._grace_until = 0.0
-            for removed_id in set(self._entries_by_id) - present:
-                del self._entries_by_id[removed_id]
-                if self._listed_by_id.pop(removed_id, None) is not None:
-                    log.info("endpoint entry removed", extra={"endpoint": removed_id})
+        for missing_id in set(self._entries_by_id) - present:
+            if not (is_in_grace and self._is_alive(missing_id)):
+                self._remove_entry(missing_id)
+        if now >= self._gone_until:
+            self._gone_until = 0.0
+            self._gone_incarnation_by_id.clear()
+        listed = {e for e in self._listed_by_id if self._is_alive(e)}
         self.endpoints.update_listed(listed, now)
 
+    def _remove_entry(self, endpoint_id: str) -> None:
+        del self._entries_by_id[endpoint_id]
+        if self._listed_by_id.pop(endpoint_id, None) is not None:
+            log.info("endpoint entry removed", extra={"endpoint": endpoint_id})
+
+    def _is_alive(self, endpoint_id: str) -> bool:
+        """Return whether a listed entry is not that of an endpoint known to be gone."""
+        listed = self._listed_by_id.get(endpoint_id)
+        if listed is None:
+            return False
+        return self._gone_incarnation_by_id.get(endpoint_id) != listed.incarnation
+
+    def _is_outdated(self, listed: ListedEndpoint) -> bool:
+        """Return whether an entry is of an earlier incarnation than the known one."""
+        known = self.endpoints.get(listed.host)
+        return known is not None and listed.incarnation < known.listed.incarnation
+
     def _reject_configuration(self, value: bytes, error: str) -> None:
         if value != self._rejected_value:
             self._rejected_value = value
--- a/tests/decisions/claims_model.py
+++ b/tests/decisions/claims_model.py
@@ -50,7 +50,7 @@
     writes: int = 0
 
     def write(self, action: WriteHead) -> bool:
-        if action.expected_revision != self.revision:
+        if action.expected_position != self.revision:
             return False
         self.head = action.head
         self.revision += 1
--- a/tests/decisions/test_duties.py
+++ b/tests/decisions/test_duties.py
@@ -1,20 +1,24 @@
-"""The duty lease: one holder at a time, and no alternation within one lease."""
+"""The duty lease: one holder at a time, and no alternation within one lease.
+
+The store may return from an older copy, with its leases and its count of revisions.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from amaranthhollow.decisions.duties import DutyState, ObservedHolder
+from amaranthhollow.decisions.store_position import StorePosition
 
 LEASE_SECONDS = 3.0
 CALL_SECONDS = 0.8
 HOSTS = ("a", "b", "c")
 
 
-@dataclass
+@dataclass(frozen=True)
 class StoredLease:
     host: str
     token: int
@@ -22,21 +26,57 @@
 
 
 class DutyMachine(RuleBasedStateMachine):
-    """Hosts that pause, lose answers and contend for a lease in one store."""
+    """Hosts that pause, lose answers and contend for a lease in one store.
+
+    A host hears of a new era from a peer or from the next response of the store.
+    """
 
     def __init__(self):
         super().__init__()
         self.now = 0.0
-        self.token = 0
-        self.stored = None
+        self.era = 0
+        self.revision = 0
+        self.stored_by_era = {}
+        self.copy = (0, {})
+        self.known_era_by_host = dict.fromkeys(HOSTS, 0)
         self.states = {host: DutyState(LEASE_SECONDS) for host in HOSTS}
         self.calls = []
 
+    @property
+    def stored(self):
+        """The lease that the hosts of the newest era contend for."""
+        stored = self.stored_by_era.get(self.era)
+        return stored if stored is not None and self.now < stored.expires_at else None
+
+    def is_first_call_in_era(self, host):
+        """Return whether the response to a call tells the host of a new era."""
+        is_first = self.known_era_by_host[host] != self.era
+        self.hears_of_era(host)
+        return is_first
+
+    def hears_of_era(self, host):
+        if self.known_era_by_host[host] != self.era:
+            self.known_era_by_host[host] = self.era
+            self.states[host] = self.states[host].store_restored(self.now)
+
     @rule(seconds=st.floats(0.05, 2.0))
     def time_passes(self, seconds):
         self.now += seconds
-        if self.stored is not None and self.now >= self.stored.expires_at:
-            self.stored = None
+
+    @rule()
+    def store_is_copied(self):
+        self.copy = (self.revision, dict(self.stored_by_era))
+
+    @rule()
+    def store_is_restored(self):
+        self.era += 1
+        self.revision, copied = self.copy
+        self.stored_by_era = dict(copied)
+
+    @rule(sender=st.sampled_from(HOSTS), receiver=st.sampled_from(HOSTS))
+    def learns_era_from_peer(self, sender, receiver):
+        if self.known_era_by_host[sender] == self.era:
+            self.hears_of_era(receiver)
 
     @rule(host=st.sampled_from(HOSTS), took=st.floats(0, 0.5))
     def contends(self, host, took):
@@ -44,12 +84,14 @@
         if not state.should_contend(HOSTS.index(host), self.now):
             return
         requested_at, self.now = self.now, self.now + took
-        if self.stored is not None and self.now < self.stored.expires_at:
-            self.states[host] = state.lost(self.now)
+        if self.is_first_call_in_era(host) or self.stored is not None:
+            self.states[host] = self.states[host].lost(self.now)
             return
-        self.token += 1
-        self.stored = StoredLease(host, self.token, self.now + LEASE_SECONDS)
-        self.states[host] = state.acquired(self.token, requested_at)
+        self.revision += 1
+        token = StorePosition(self.era, self.revision).fencing_token
+        expires_at = self.now + LEASE_SECONDS
+        self.stored_by_era[self.era] = StoredLease(host, token, expires_at)
+        self.states[host] = state.acquired(token, requested_at)
 
     @rule(host=st.sampled_from(HOSTS), answer_is_lost=st.booleans())
     def renews(self, host, answer_is_lost):
@@ -58,8 +100,9 @@
             return
         holds = self.stored is not None and self.stored.host == host
         if holds:
-            self.stored.expires_at = self.now + LEASE_SECONDS
-        if answer_is_lost:
+            expires_at = self.now + LEASE_SECONDS
+            self.stored_by_era[self.era] = replace(self.stored, expires_at=expires_at)
+        if answer_is_lost or self.is_first_call_in_era(host):
             return
         self.states[host] = state.renewed(self.now) if holds else state.lost(self.now)
 
@@ -72,7 +115,7 @@
     def shuts_down_and_restarts(self, host):
         """The notice to the load balancer and the drain precede the restart."""
         if self.stored is not None and self.stored.host == host:
-            self.stored = None
+            del self.stored_by_era[self.era]
         released = self.states[host].released(host)
         for other in HOSTS:
             if other != host and released.observed_holder is not None:
@@ -81,6 +124,7 @@
                 )
         self.now += LEASE_SECONDS
         self.states[host] = DutyState(LEASE_SECONDS)
+        self.known_era_by_host[host] = 0
 
     @rule(sender=st.sampled_from(HOSTS), receiver=st.sampled_from(HOSTS))
     def learns_holder_from_peer(self, sender, receiver):
@@ -114,3 +158,29 @@
 TestDuties.settings = settings(
     max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
 )
+
+
+def test_nobody_contends_before_the_lost_leases_have_expired():
+    holder = DutyState(LEASE_SECONDS).acquired(5, 10.0).store_restored(11.0)
+    other = DutyState(LEASE_SECONDS).store_restored(11.0)
+
+    assert not holder.may_call(11.0, 0.1)
+    assert not holder.should_contend(0, 14.0)
+    assert not other.should_contend(0, 14.0)
+    assert holder.should_contend(0, 14.3)
+    assert other.should_contend(0, 14.5)
+
+
+def test_previous_holder_contends_first_after_a_restore():
+    holder = DutyState(LEASE_SECONDS).acquired(5, 10.0).store_restored(11.0)
+    other = DutyState(LEASE_SECONDS).store_restored(11.0)
+
+    assert holder.was_holder_at_restore
+    assert not other.was_holder_at_restore
+    assert holder.contends_at < other.contends_at
+
+
+def test_failed_attempt_does_not_shorten_the_wait_after_a_restore():
+    state = DutyState(LEASE_SECONDS).store_restored(11.0).lost(11.1)
+
+    assert not state.should_contend(0, 14.0)
