--- /dev/null
+++ b/src/amaranthhollow/decisions/usage_ledger.py
@@ -0,0 +1,61 @@
+"""The usage reports and counts that the holder of the duties keeps for its successor.
+
+A report is stored before it is sent, so a window never gets two different reports. A
+store that returns from an older copy may have lost reports that were sent; a window
+whose report may be among them is not reported.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from amaranthhollow.decisions.usage import CountsByWindow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = [
+    "EMPTY_LEDGER",
+    "NOT_TO_BE_SENT",
+    "UsageLedger",
+    "restored_ledger",
+]
+
+# In place of a report that may have been sent with content that no host knows.
+NOT_TO_BE_SENT = b""
+
+
+class UsageLedger(msgspec.Struct, frozen=True, array_like=True):
+    """Reports and counts, as the holder of the duties stores them.
+
+    ``reports`` are the exact bytes sent by window, or ``NOT_TO_BE_SENT``; ``counts``
+    the requests that each process started, by process, window and workspace.
+    """
+
+    reports: dict[int, bytes]
+    counts: dict[str, CountsByWindow]
+
+
+EMPTY_LEDGER = UsageLedger({}, {})
+
+
+def restored_ledger(
+    ledgers: Iterable[UsageLedger], unknown_windows: Iterable[int]
+) -> UsageLedger:
+    """Return the first ledger of a new era, from those of earlier eras.
+
+    ``unknown_windows`` may have been reported by another host. They are not reported
+    unless a ledger has their report, and neither are windows of which two ledgers have
+    different reports.
+    """
+    reports: dict[int, bytes] = {}
+    counts: dict[str, CountsByWindow] = {}
+    for ledger in ledgers:
+        for window, report in ledger.reports.items():
+            if reports.setdefault(window, report) != report:
+                reports[window] = NOT_TO_BE_SENT
+        counts |= ledger.counts
+    unknown = dict.fromkeys(unknown_windows, NOT_TO_BE_SENT)
+    return UsageLedger(unknown | reports, counts)
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -11,6 +11,12 @@
 
 from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.decisions.usage import RETAINED_WINDOWS, CountsByWindow, sum_counts
+from amaranthhollow.decisions.usage_ledger import (
+    EMPTY_LEDGER,
+    NOT_TO_BE_SENT,
+    UsageLedger,
+    restored_ledger,
+)
 from amaranthhollow.entry.duty_lease import era_key, holder_key
 from amaranthhollow.platform.cloud import DutyHolder, encode_usage_report
 from amaranthhollow.platform.names import SYSTEM_KEY_PREFIX
@@ -29,28 +35,12 @@
 WINDOW_CLOSE_DELAY_SECONDS = 1.5
 CALL_TIMEOUT_SECONDS = 0.8
 MAX_STORED_REPORTS = 8
-# In place of a report that may have been sent with content that no host knows.
-NOT_TO_BE_SENT = b""
 # If all hosts fail at once, counts since the last save are lost.
 SAVE_INTERVAL_SECONDS = 1.0
 
 log = logbook.Logger("usage")
 
 
-class UsageLedger(msgspec.Struct, frozen=True, array_like=True):
-    """Reports and counts that the holder of the duties stores for its successor.
-
-    ``reports`` are the exact bytes sent by window, or ``NOT_TO_BE_SENT``; ``counts``
-    the requests that each process started, by process, window and workspace.
-    """
-
-    reports: dict[int, bytes]
-    counts: dict[str, CountsByWindow]
-
-
-EMPTY_LEDGER = UsageLedger({}, {})
-
-
 class UsageDuty:
     """Reports usage, and stores the exact bytes of each report before sending it.
 
@@ -134,34 +124,29 @@
         self._fencing_token = fencing_token
 
     def _restored_ledger(self, values: list[bytes]) -> UsageLedger:
-        """Return the first ledger of a new era, from those of earlier eras.
+        """Return the first ledger of a new era, from the stored ones of earlier eras.
 
-        No host has reported another window since the store was restored, because a
-        report is stored before it is sent. The last ledger of this host is complete if
-        it held the duties when the store was restored.
+        No host has reported another window since the store was restored. The last
+        ledger of this host is complete if it held the duties at that time.
         """
-        reports: dict[int, bytes] = {}
-        counts: dict[str, CountsByWindow] = {}
-        for ledger in (*map(_decode_ledger, values), self._ledger):
-            for window, report in ledger.reports.items():
-                known = reports.setdefault(window, report)
-                if known != report:
-                    reports[window] = NOT_TO_BE_SENT
-            counts |= ledger.counts
         token_at_restore = self._host.duty.token_at_restore
-        if not token_at_restore or token_at_restore != self._fencing_token:
-            seconds_since = now() - (self._host.store_restored_at or 0.0)
-            last = self._last_closed_window(self._host.wall_time() - seconds_since)
-            unknown = range(last - RETAINED_WINDOWS, last + 1)
-            reports = {**dict.fromkeys(unknown, NOT_TO_BE_SENT), **reports}
+        is_complete = token_at_restore and token_at_restore == self._fencing_token
+        unknown = () if is_complete else self._windows_closed_at_restore()
+        stored = map(_decode_ledger, values)
+        ledger = restored_ledger((*stored, self._ledger), unknown)
+        not_sent = sorted(w for w, r in ledger.reports.items() if r == NOT_TO_BE_SENT)
         log.info(
             "usage ledger set up in a restored store",
-            extra={
-                "windows": sorted(reports),
-                "unknown": sorted(w for w in reports if not reports[w]),
-            },
+            extra={"windows": sorted(ledger.reports), "not_sent": not_sent},
         )
-        return UsageLedger(reports, counts)
+        return ledger
+
+    def _windows_closed_at_restore(self) -> range:
+        """Return the windows that another host may have reported before a restore."""
+        host = self._host
+        restored_at = host.store_restored_at or now()
+        last = self._last_closed_window(host.wall_time() - (now() - restored_at))
+        return range(last - RETAINED_WINDOWS, last + 1)
 
     def _merge_stored_counts(self, counts: dict[str, CountsByWindow]) -> None:
         """Add the counts of processes that have sent no report to this host."""
