Refill quotas from a restart on, take levels from peers, spend slack at the bottom

Hypothesis: a restarted host refuses what workspaces are owed, because its buckets are empty at the first request, although nothing was spent while it was down and its peers know what was spent; and below half of the burst a host may use only an eighth of the rate, although operators accept a slack of more than the burst.

Change: buckets refill from the process's start; a host that starts gets the levels of its peers with the first echoes; near the bottom, hosts share two fifths of the slack besides the rate, as long as the bucket is not empty. Hosts that started together count each other's first reports in full.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -3,7 +3,11 @@
 Every host keeps a copy of the same token bucket. It subtracts what it admits itself at
 once, and what other hosts admitted when their cumulative counts arrive. When the bucket
 is nearly empty those counts arrive too late, so a host then spends only its own share
-of the rate. Unreachable hosts are assumed to spend their share.
+of the slack that operators accept and of the rate. Unreachable hosts are assumed to
+spend their share.
+
+A host that restarts has lost its buckets. They count as empty at its start, until it
+takes over the levels that another host has kept.
 """
 
 from __future__ import annotations
@@ -27,18 +31,27 @@
 MIN_SHARED_FILL = 0.5
 # A host may accumulate this many seconds of its own share of the rate.
 MAX_SHARE_SECONDS = 0.5
+# Fraction of the accepted slack that hosts spend from a nearly empty bucket. The rest
+# is left for their shares of the rate, for large requests and for lost messages.
+SPENDABLE_SLACK = 0.4
+# Counts of reachable hosts arrive within two rounds of pings.
+COUNTS_MAX_AGE_SECONDS = 0.5
+# By then the bucket of a restarted host depends on its counts, not on its empty start.
+LEVELS_SETTLING_SECONDS = 2.0
 
 
 @dataclass(frozen=True)
 class QuotaTolerance:
-    """The excess over a quota that operators accept, as a fraction of the quota.
+    """The excess over a quota that operators accept.
 
-    Hosts enforce the quota with this excess, since callers lose every request that is
-    rejected below it. Operators also accept an absolute slack in each window, which is
-    left for what hosts admit before they receive each other's counts.
+    Hosts enforce the quota with ``excess_ratio``, a fraction of it, since callers lose
+    every request that is rejected below it. Operators also accept ``slack`` in each
+    window, in the unit of the quota. It is left for what hosts admit before they
+    receive each other's counts.
     """
 
     excess_ratio: float = 0.0
+    slack: float = 0.0
 
     def enforced_quota(self, quota: Quota) -> Quota:
         """Return the quota that all hosts together enforce."""
@@ -59,8 +72,11 @@
 
 @dataclass
 class _Bucket:
+    """A copy of a workspace's bucket, and what this host may take from its bottom."""
+
     level: float
     share_level: float
+    slack_level: float
     updated_at: float
     spent: float = 0.0
 
@@ -72,34 +88,65 @@
         self,
         tolerance: QuotaTolerance | None = None,
         *,
-        starts_empty: bool = False,
+        restarted_at: float | None = None,
     ) -> None:
         """Start without buckets; without a tolerance, quotas are exact.
 
-        Use ``starts_empty`` on a restart: what the host spent just before is lost, so
-        its buckets start empty.
+        Use ``restarted_at`` on a restart: what was spent before is not known, so the
+        buckets were empty at that time.
         """
         self._tolerance = tolerance or QuotaTolerance()
-        self._initial_fill = 0.0 if starts_empty else INITIAL_FILL
+        self._restarted_at = restarted_at
+        self._adopted_levels: dict[str, float] = {}
         self._buckets_by_workspace: dict[str, _Bucket] = {}
         self._spent_by_host: dict[str, dict[str, float]] = {}
 
+    def levels(self, now: float) -> dict[str, float] | None:
+        """Return the level of each workspace's bucket; None soon after a restart."""
+        if not self.knows_levels(now):
+            return None
+        return {w: b.level for w, b in self._buckets_by_workspace.items()}
+
+    def knows_levels(self, now: float) -> bool:
+        """Return whether the levels no longer depend on the assumption at a restart."""
+        restarted_at = self._restarted_at
+        return restarted_at is None or now >= restarted_at + LEVELS_SETTLING_SECONDS
+
+    def adopt_levels(self, levels: Mapping[str, float], now: float) -> None:
+        """Take over the levels that another host has kept.
+
+        What this host has spent may not be known to the other one yet.
+        """
+        self._restarted_at = None
+        for workspace, bucket in self._buckets_by_workspace.items():
+            if workspace in levels:
+                bucket.level = levels[workspace] - bucket.spent
+                bucket.updated_at = now
+        self._adopted_levels = {
+            workspace: level
+            for workspace, level in levels.items()
+            if workspace not in self._buckets_by_workspace
+        }
+
     def admit(
         self, workspace: str, quota: Quota, cost: float, hosts: HostCounts, now: float
     ) -> Admit | Reject:
         """Admit or reject a request that costs ``cost`` tokens or requests."""
         quota = self._tolerance.enforced_quota(quota)
         bucket = self._refill(workspace, quota, hosts, now)
-        unreachable = 1.0 - hosts.reachable / hosts.total
-        reserve = quota.burst * max(MIN_SHARED_FILL, unreachable)
-        is_above_reserve = bucket.level - cost >= reserve
-        if not is_above_reserve and bucket.share_level <= 0:
-            missing = -bucket.share_level + cost / hosts.total
-            wait = missing * hosts.total / quota.rate_per_second
-            return Reject(retry_at=now + wait)
-        if not is_above_reserve:
-            bucket.share_level -= cost
-        bucket.level -= cost
+        unreachable_reserve = quota.burst * (1.0 - hosts.reachable / hosts.total)
+        reserve = max(quota.burst * MIN_SHARED_FILL, unreachable_reserve)
+        remaining = bucket.level - cost
+        if remaining < reserve:
+            if remaining >= unreachable_reserve and bucket.slack_level > 0:
+                bucket.slack_level -= cost
+            elif bucket.share_level > 0:
+                bucket.share_level -= cost
+            else:
+                missing = -bucket.share_level + cost / hosts.total
+                wait = missing * hosts.total / quota.rate_per_second
+                return Reject(retry_at=now + wait)
+        bucket.level = remaining
         bucket.spent += cost
         return Admit()
 
@@ -107,14 +154,21 @@
         """Return the cost of all requests admitted since the start, by workspace."""
         return {w: b.spent for w, b in self._buckets_by_workspace.items()}
 
-    def observe(self, host: str, spent_by_workspace: Mapping[str, float]) -> None:
+    def observe(
+        self,
+        host: str,
+        spent_by_workspace: Mapping[str, float],
+        *,
+        is_recent: bool = False,
+    ) -> None:
         """Subtract what another host admitted, from its cumulative counts.
 
         ``host`` identifies the host's incarnation. Its first report only sets the
-        baseline, since the counts may be old. In later reports the full count of a
-        workspace that is new in them is subtracted.
+        baseline, since the counts may be old, unless that incarnation ``is_recent``:
+        it started at about the time of this host, or later. In later reports the full
+        count of a workspace that is new in them is subtracted.
         """
-        previous = self._spent_by_host.get(host)
+        previous = self._spent_by_host.get(host, {} if is_recent else None)
         self._spent_by_host[host] = dict(spent_by_workspace)
         if previous is None:
             return
@@ -132,14 +186,25 @@
     ) -> _Bucket:
         share_rate = quota.rate_per_second / hosts.total
         max_share = share_rate * MAX_SHARE_SECONDS
+        max_slack = SPENDABLE_SLACK * self._tolerance.slack / hosts.total
         bucket = self._buckets_by_workspace.get(workspace)
         if bucket is None:
-            share = max_share if self._initial_fill else 0.0
-            bucket = _Bucket(quota.burst * self._initial_fill, share, now)
+            bucket = self._new_bucket(workspace, quota, max_share, max_slack, now)
             self._buckets_by_workspace[workspace] = bucket
         elapsed = max(0.0, now - bucket.updated_at)
         reachable_rate = quota.rate_per_second * hosts.reachable / hosts.total
+        slack_rate = max_slack / COUNTS_MAX_AGE_SECONDS
         bucket.level = min(quota.burst, bucket.level + reachable_rate * elapsed)
         bucket.share_level = min(max_share, bucket.share_level + share_rate * elapsed)
+        bucket.slack_level = min(max_slack, bucket.slack_level + slack_rate * elapsed)
         bucket.updated_at = now
         return bucket
+
+    def _new_bucket(
+        self, workspace: str, quota: Quota, share: float, slack: float, now: float
+    ) -> _Bucket:
+        if self._restarted_at is not None:
+            return _Bucket(0.0, 0.0, 0.0, self._restarted_at)
+        fill = quota.burst * INITIAL_FILL
+        level = self._adopted_levels.pop(workspace, fill)
+        return _Bucket(min(quota.burst, level), share, slack, now)
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -47,6 +47,10 @@
 # Earlier windows no longer change, and were sent to the peers many times.
 REPORTED_USAGE_WINDOWS = 2
 LOST_HOST_RETRY_ROUNDS = 8
+# A new host gets the quota levels with its first echoes, unless they are lost.
+QUOTA_LEVELS_SECONDS = 1.0
+# Hosts that restart together start within a few seconds.
+RECENT_START_MS = 5_000
 
 log = logbook.Logger("peers")
 
@@ -71,6 +75,7 @@
         self._nonce = host.random.getrandbits(32)
         self._pending_pings_by_nonce: dict[int, _PendingPing] = {}
         self._last_seen_at_by_host: dict[str, float] = {}
+        self._first_seen_at_by_process: dict[str, float] = {}
         self._last_seen_at_by_process: dict[str, float] = {}
         self._round = 0
         self._rotation = PeerRotation(host.random)
@@ -180,6 +185,7 @@
         for process, at in list(self._last_seen_at_by_process.items()):
             if instant - at >= REPORT_RETENTION_SECONDS:
                 del self._last_seen_at_by_process[process]
+                del self._first_seen_at_by_process[process]
                 host.quotas.forget(process)
                 host.usage_by_process.pop(process, None)
 
@@ -207,8 +213,18 @@
             self._build_report(),
             self._build_freshness_report(),
             host.clock.local_wall_time(now()),
+            self._quota_levels_for(ping),
         )
 
+    def _quota_levels_for(self, ping: Ping) -> dict[str, float] | None:
+        """Return the levels of the quotas if the sender of a ping has just started."""
+        process = f"{ping.host}@{ping.incarnation}"
+        instant = now()
+        first_seen_at = self._first_seen_at_by_process.get(process, instant)
+        if instant - first_seen_at >= QUOTA_LEVELS_SECONDS:
+            return None
+        return self._host.quotas.levels(instant)
+
     def _build_freshness_report(self) -> FreshnessReport:
         host, instant = self._host, now()
         site, duty = host.site, host.duty
@@ -241,9 +257,11 @@
         host = self._host
         self._last_seen_at_by_host[name] = now()
         process = f"{name}@{incarnation}"
+        self._first_seen_at_by_process.setdefault(process, now())
         self._last_seen_at_by_process[process] = now()
         host.chooser.observe(name, report.loads)
-        host.quotas.observe(process, report.spent)
+        is_recent = incarnation > host.incarnation - RECENT_START_MS
+        host.quotas.observe(process, report.spent, is_recent=is_recent)
         previous = host.usage_by_process.get(process, {})
         host.usage_by_process[process] = merge_counts(previous, report.usage)
 
@@ -256,6 +274,10 @@
         midpoint = (pending_ping.sent_at + now()) / 2
         self._host.clock.observe(echo.host, echo.wall_time, midpoint)
         self._apply_freshness_report(echo.host, echo.freshness, pending_ping.sent_at)
+        quotas, instant = self._host.quotas, now()
+        if echo.quota_levels is not None and not quotas.knows_levels(instant):
+            quotas.adopt_levels(echo.quota_levels, instant)
+            log.info("quota levels adopted", extra={"from": echo.host})
 
     def _apply_freshness_report(
         self, name: str, report: FreshnessReport, sent_at: float
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -224,8 +224,8 @@
         random=random,
         duty=DutyState(bounds.lease_ms / 1000),
         quotas=QuotaLimiter(
-            QuotaTolerance(bounds.quota_over),
-            starts_empty=not settings.is_first_start,
+            QuotaTolerance(bounds.quota_over, bounds.quota_slack),
+            restarted_at=None if settings.is_first_start else now(),
         ),
     )
     host.store.add_restore_listener(host.store_restored)
--- a/src/amaranthhollow/entry/settings.py
+++ b/src/amaranthhollow/entry/settings.py
@@ -37,6 +37,7 @@
     repeat_slack: float
     repeat_window: float
     quota_over: float = 0.0
+    quota_slack: float = 0.0
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -66,7 +66,11 @@
 
 
 class Echo(msgspec.Struct, frozen=True, array_like=True, tag="echo"):
-    """Reply to a :class:`Ping`; ``wall_time`` is the sender's, in Unix seconds."""
+    """Reply to a :class:`Ping`; ``wall_time`` is the sender's, in Unix seconds.
+
+    ``quota_levels`` are the levels of the sender's quotas by workspace, for a host
+    that has just started; None if it has not, or if the sender does not know them.
+    """
 
     nonce: int
     host: str
@@ -75,6 +79,7 @@
     report: HostReport
     freshness: FreshnessReport
     wall_time: float
+    quota_levels: dict[str, float] | None = None
 
 
 def encode_datagram(message: Ping | Echo) -> bytes:
