Order the cheapest engines that survive the next loss, by learned load

Three things bind. An engine counted as busy while a prompt only waited for the constant part of its first event's delay; the same number ran in each data centre whatever its price; and on-demand engines were ordered for what was missing already, not for the next reclaim.

Change: the speed of an engine and the constant delay are learned from first events; counts by data centre are the cheapest that survive a loss, by exact search; in a shortage on-demand engines stand in for the next loss. When orders are sent is decided in a module of its own; a decrease is taken back at once. Quota levels are stored with the usage, so that buckets refill while no host runs.

A host could overdraw its share of the slack by a whole request, and had it again after each restart.

--- a/src/amaranthhollow/decisions/demand.py
+++ b/src/amaranthhollow/decisions/demand.py
@@ -1,22 +1,12 @@
-"""Estimates from sampled loads how many engines are busy reading prompts."""
+"""Estimates from samples how many engines are needed to read prompts in time."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
 from math import ceil, exp
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+__all__ = ["DemandEstimate"]
 
-    from amaranthhollow.decisions.choice import EndpointLoad
-
-__all__ = ["DemandEstimate", "busy_engines"]
-
-# Pending prompt tokens that keep one engine busy; a larger number at one engine counts
-# as work for more engines. An engine reads this many in about a third of a second.
-BACKLOG_TOKENS = 20_000
-MAX_BUSY_PER_ENGINE = 3.0
 # With half of the engines busy, a request waits about as long as reading it takes.
 TARGET_UTILIZATION = 0.45
 # On-demand engines cost several times as much and are only used for a short time, so
@@ -26,15 +16,6 @@
 FALL_TIME_CONSTANT_SECONDS = 10.0
 
 
-def busy_engines(loads: Iterable[EndpointLoad]) -> float:
-    """Return how many engines the pending prompts would keep busy."""
-    return sum(
-        min(MAX_BUSY_PER_ENGINE, max(1.0, load.pending_tokens / BACKLOG_TOKENS))
-        for load in loads
-        if load.pending_tokens
-    )
-
-
 @dataclass(frozen=True)
 class DemandEstimate:
     """An exponential moving average of samples that rises fast and falls slowly.
--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -7,7 +7,8 @@
 spend their share.
 
 A host that restarts has lost its buckets. They count as empty at its start, until it
-takes over the levels that another host has kept.
+takes over the levels that were stored, and then those that another host has kept. While
+no host runs nothing is spent, so the buckets refill from the time of the stored levels.
 """
 
 from __future__ import annotations
@@ -33,7 +34,7 @@
 MAX_SHARE_SECONDS = 0.5
 # Fraction of the accepted slack that hosts spend from a nearly empty bucket. The rest
 # is left for their shares of the rate, for large requests and for lost messages.
-SPENDABLE_SLACK = 0.4
+SPENDABLE_SLACK = 0.5
 # Counts of reachable hosts arrive within two rounds of pings.
 COUNTS_MAX_AGE_SECONDS = 0.5
 # By then the bucket of a restarted host depends on its counts, not on its empty start.
@@ -98,6 +99,7 @@
         self._tolerance = tolerance or QuotaTolerance()
         self._restarted_at = restarted_at
         self._adopted_levels: dict[str, float] = {}
+        self._adopted_at = 0.0
         self._buckets_by_workspace: dict[str, _Bucket] = {}
         self._spent_by_host: dict[str, dict[str, float]] = {}
 
@@ -112,21 +114,23 @@
         restarted_at = self._restarted_at
         return restarted_at is None or now >= restarted_at + LEVELS_SETTLING_SECONDS
 
-    def adopt_levels(self, levels: Mapping[str, float], now: float) -> None:
-        """Take over the levels that another host has kept.
+    def adopt_levels(
+        self, levels: Mapping[str, float], as_of: float, *, is_current: bool = True
+    ) -> None:
+        """Take over the levels at the time ``as_of``, after a restart.
 
-        What this host has spent may not be known to the other one yet.
+        They are those that another host has kept, which may not know what this host
+        has spent since its start. Stored levels are not ``is_current``: others may be
+        adopted later, and are not passed on before.
         """
-        self._restarted_at = None
+        if is_current:
+            self._restarted_at = None
         for workspace, bucket in self._buckets_by_workspace.items():
             if workspace in levels:
                 bucket.level = levels[workspace] - bucket.spent
-                bucket.updated_at = now
-        self._adopted_levels = {
-            workspace: level
-            for workspace, level in levels.items()
-            if workspace not in self._buckets_by_workspace
-        }
+                bucket.updated_at = as_of
+        self._adopted_levels = dict(levels)
+        self._adopted_at = as_of
 
     def admit(
         self, workspace: str, quota: Quota, cost: float, hosts: HostCounts, now: float
@@ -138,7 +142,7 @@
         reserve = max(quota.burst * MIN_SHARED_FILL, unreachable_reserve)
         remaining = bucket.level - cost
         if remaining < reserve:
-            if remaining >= unreachable_reserve and bucket.slack_level > 0:
+            if remaining >= unreachable_reserve and bucket.slack_level >= cost:
                 bucket.slack_level -= cost
             elif bucket.share_level > 0:
                 bucket.share_level -= cost
@@ -203,8 +207,9 @@
     def _new_bucket(
         self, workspace: str, quota: Quota, share: float, slack: float, now: float
     ) -> _Bucket:
+        level = self._adopted_levels.get(workspace)
+        if level is not None:
+            return _Bucket(min(quota.burst, level), 0.0, 0.0, self._adopted_at)
         if self._restarted_at is not None:
             return _Bucket(0.0, 0.0, 0.0, self._restarted_at)
-        fill = quota.burst * INITIAL_FILL
-        level = self._adopted_levels.pop(workspace, fill)
-        return _Bucket(min(quota.burst, level), share, slack, now)
+        return _Bucket(quota.burst * INITIAL_FILL, share, slack, now)
--- a/src/amaranthhollow/decisions/usage_ledger.py
+++ b/src/amaranthhollow/decisions/usage_ledger.py
@@ -32,10 +32,18 @@
 
     ``reports`` are the exact bytes sent by window, or ``NOT_TO_BE_SENT``; ``counts``
     the requests that each process started, by process, window and workspace.
+    ``quota_levels`` are the levels of the workspaces' quotas at the wall time
+    ``levels_at``, in seconds since the Unix epoch.
     """
 
     reports: dict[int, bytes]
     counts: dict[str, CountsByWindow]
+    quota_levels: dict[str, float] = {}
+    levels_at: float = 0.0
+
+    def has_same_usage(self, other: UsageLedger) -> bool:
+        """Return whether both have the same reports and counts."""
+        return self.reports == other.reports and self.counts == other.counts
 
 
 EMPTY_LEDGER = UsageLedger({}, {})
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from amaranthhollow.decisions.prompt_times import PromptTimes
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.retries import RetryBudget
 from amaranthhollow.serving.clock import now
@@ -48,6 +49,7 @@
     clock: SiteClock
     quotas: QuotaLimiter = field(default_factory=QuotaLimiter)
     retry_budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    prompt_times_by_service: dict[str, PromptTimes] = field(default_factory=dict)
     usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
     host_counts: HostCounts = field(default_factory=HostCounts)
     reachable_hosts: tuple[str, ...] = ()
@@ -91,6 +93,10 @@
         """The position of this host's name among those of all reachable hosts."""
         return sorted({*self.reachable_hosts, self.name}).index(self.name)
 
+    def prompt_times(self, service: str) -> PromptTimes:
+        """Return the times that the engines of a service took to read prompts."""
+        return self.prompt_times_by_service.setdefault(service, PromptTimes())
+
     def retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self.retry_budgets_by_service.get(service)
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -47,6 +47,9 @@
         if admitted.workspace is not None:
             host.usage.record_started(admitted.workspace.name, host.wall_time())
 
+    def notify_prompt_read(admitted: Admitted, tokens: int, seconds: float) -> None:
+        host.prompt_times(admitted.service).observe(tokens, seconds)
+
     def notify_connection_lost(
         request: CallerRequest, admitted: Admitted, endpoint: Endpoint
     ) -> None:
@@ -56,6 +59,7 @@
     return ForwardingCallbacks(
         spend_retry,
         notify_response_started,
+        notify_prompt_read,
         notify_connection_lost,
         host.random.random,
     )
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -9,7 +9,8 @@
 import logbook
 from result import Err
 
-from amaranthhollow.decisions.demand import DemandEstimate, busy_engines
+from amaranthhollow.decisions.demand import DemandEstimate
+from amaranthhollow.decisions.order_schedule import OrderSchedule
 from amaranthhollow.decisions.planner import (
     EngineCounts,
     EngineOrder,
@@ -28,14 +29,10 @@
 __all__ = ["ScalingDuty"]
 
 CALL_TIMEOUT_SECONDS = 0.8
-# An accepted order without effect is sent again once the engines should have started.
-REORDER_DELAY_SECONDS = 6.0
-# A shortage of engines in a data centre lasts several seconds.
-UNAVAILABLE_RETRY_SECONDS = 3.0
 SAMPLE_INTERVAL_SECONDS = 0.1
-# Engines that run at the start are listed after the platform's seeding delay of 3 s and
-# a heartbeat of 1.2 s; an earlier plan would rest on an incomplete list.
-FIRST_SAMPLE_DELAY_SECONDS = 4.2
+# Engines that run at the start write their entries within a heartbeat of 1.2 s of each
+# other. Later plans order more if some are listed later.
+FIRST_SAMPLE_DELAY_SECONDS = 1.5
 SAMPLES_PER_PLAN = 5
 
 log = logbook.Logger("scaling")
@@ -49,9 +46,7 @@
         self._host = host
         self._cloud = cloud
         self._fencing_token = 0
-        self._sent_orders_by_target: dict[tuple[str, str, bool], EngineOrder] = {}
-        self._next_order_at_by_target: dict[tuple[str, str, bool], float] = {}
-        self._unavailable_until_by_target: dict[tuple[str, str, bool], float] = {}
+        self._schedule = OrderSchedule()
         self._demand_by_service: dict[str, DemandEstimate] = {}
         self._first_seen_at_by_service: dict[str, float] = {}
 
@@ -80,8 +75,7 @@
         held_lease = self._host.duty.held_lease
         if held_lease is not None and self._fencing_token != held_lease.fencing_token:
             self._fencing_token = held_lease.fencing_token
-            self._sent_orders_by_target.clear()
-            self._next_order_at_by_target.clear()
+            self._schedule.start_term()
         return held_lease is not None
 
     def _endpoints(self, service: Service) -> list[Endpoint]:
@@ -103,7 +97,8 @@
         if demand is None or not demand.has_traffic:
             initial = self._initial_demand(service, endpoints, instant)
             demand = max(initial, demand or initial, key=attrgetter("busy"))
-        busy = busy_engines(chooser.load(endpoint.host) for endpoint in endpoints)
+        times = self._host.prompt_times(service.name)
+        busy = times.busy_engines(chooser.load(e.host) for e in endpoints)
         self._demand_by_service[service.name] = demand.with_sample(busy, instant)
 
     def _initial_demand(
@@ -131,33 +126,20 @@
         counts = count_engines(self._endpoints(service))
         needed = demand.needed_engines
         instant = now()
-        unavailable = {
-            data_centre
-            for (name, data_centre, is_reclaimable), until in (
-                self._unavailable_until_by_target.items()
-            )
-            if name == service.name and is_reclaimable and instant < until
-        }
         plan = plan_service(
             service.name,
             service.scaling,
             counts,
             needed,
             demand.needed_with_on_demand,
-            unavailable,
+            self._schedule.unavailable_data_centres(service.name, instant),
             is_idle=self._host.settings.is_first_start and not demand.has_traffic,
         )
         for order in plan:
-            if self._is_due(order, counts.get(order.data_centre, EngineCounts())):
+            present = counts.get(order.data_centre, EngineCounts())
+            if self._schedule.is_due(order, present, now()):
                 await self._send_order(order, needed)
 
-    def _is_due(self, order: EngineOrder, counts: EngineCounts) -> bool:
-        if now() < self._next_order_at_by_target.get(order.target, 0.0):
-            return False
-        present = counts.reclaimable if order.is_reclaimable else counts.on_demand
-        was_sent = self._sent_orders_by_target.get(order.target) == order
-        return not was_sent or present != order.count
-
     async def _send_order(self, order: EngineOrder, needed: int) -> None:
         host = self._host
         if not host.duty.may_call(now(), CALL_TIMEOUT_SECONDS):
@@ -166,13 +148,10 @@
         result = await self._cloud.order_engines(order, holder, CALL_TIMEOUT_SECONDS)
         is_accepted = not isinstance(result, Err) and result.ok_value
         host.metrics.cloud_calls.labels("order", is_accepted).inc()
-        delay = REORDER_DELAY_SECONDS if is_accepted else UNAVAILABLE_RETRY_SECONDS
-        self._next_order_at_by_target[order.target] = now() + delay
         if is_accepted:
-            self._sent_orders_by_target[order.target] = order
+            self._schedule.record_accepted(order, now())
         else:
-            until = now() + 2 * UNAVAILABLE_RETRY_SECONDS
-            self._unavailable_until_by_target[order.target] = until
+            self._schedule.record_refused(order, now())
         log.info(
             "engines ordered" if is_accepted else "engines unavailable",
             extra={
@@ -181,6 +160,7 @@
                 "reclaimable": order.is_reclaimable,
                 "count": order.count,
                 "needed": needed,
+                "busy": round(self._demand_by_service[order.service].busy, 2),
                 "fencing_token": self._fencing_token,
             },
         )
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -37,6 +37,9 @@
 MAX_STORED_REPORTS = 8
 # If all hosts fail at once, counts since the last save are lost.
 SAVE_INTERVAL_SECONDS = 1.0
+# Quota levels older than this and a save interval may lack what was spent without a
+# holder of the duties.
+MAX_REFILL_SECONDS = 3.0
 
 log = logbook.Logger("usage")
 
@@ -67,6 +70,8 @@
 
     async def run(self) -> None:
         """Report windows that are due, until cancelled."""
+        if not self._host.settings.is_first_start:
+            await self._restore_quota_levels()
         while True:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             held_lease = self._host.duty.held_lease
@@ -80,6 +85,21 @@
             if now() >= self._next_save_at and self._fencing_token and self._may_call():
                 await self._save(self._ledger.reports)
 
+    async def _restore_quota_levels(self) -> None:
+        """After a restart, take over the levels of the quotas that were stored."""
+        host = self._host
+        era = host.store.era
+        found = await host.store.get(era_key(USAGE_KEY, era), CALL_TIMEOUT_SECONDS)
+        if isinstance(found, Err) or found.ok_value is None:
+            return
+        ledger = _decode_ledger(found.ok_value.value)
+        age = host.wall_time() - ledger.levels_at
+        refill_seconds = min(max(0.0, age - SAVE_INTERVAL_SECONDS), MAX_REFILL_SECONDS)
+        host.quotas.adopt_levels(
+            ledger.quota_levels, now() - refill_seconds, is_current=False
+        )
+        log.info("quota levels restored", extra={"age": round(age, 2)})
+
     def _may_call(self) -> bool:
         return self._host.duty.may_call(now(), CALL_TIMEOUT_SECONDS)
 
@@ -201,8 +221,9 @@
         }
         for process in self._host.usage_by_process.keys() - counts.keys():
             del self._host.usage_by_process[process]
-        ledger = UsageLedger(reports, counts)
-        if ledger == self._ledger and self._position is not None:
+        levels = self._host.quotas.levels(now()) or {}
+        ledger = UsageLedger(reports, counts, levels, self._host.wall_time())
+        if ledger.has_same_usage(self._ledger) and self._position is not None:
             return True
         holder_position = StorePosition.from_fencing_token(self._fencing_token)
         key = era_key(USAGE_KEY, holder_position.era)
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -39,11 +39,14 @@
     """Callbacks of the forwarder into the rest of the host.
 
     ``spend_retry`` takes a retry from the budget of a service, and returns False if
-    none is left. ``random`` returns a number from 0 to 1.
+    none is left. ``notify_prompt_read`` gets the prompt tokens that an endpoint had to
+    read for a first event, and the seconds it took. ``random`` returns a number from 0
+    to 1.
     """
 
     spend_retry: Callable[[str], bool]
     notify_response_started: Callable[[Admitted], None]
+    notify_prompt_read: Callable[[Admitted, int, float], None]
     notify_connection_lost: Callable[[CallerRequest, Admitted, Endpoint], None]
     random: Callable[[], float]
 
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -286,7 +286,7 @@
             match part:
                 case BodyPart(data):
                     self._forwarder.record_activity(endpoint)
-                    await self._send_events(response, endpoint, data)
+                    await self._send_events(attempt, response, data)
                 case ResponseEnd():
                     return self._finish_stream(endpoint)
                 case ConnectionLost(kind, detail):
@@ -319,8 +319,9 @@
         )
 
     async def _send_events(
-        self, response: ResponseInfo, endpoint: Endpoint, data: bytes
+        self, attempt: Attempt, response: ResponseInfo, data: bytes
     ) -> None:
+        endpoint = attempt.endpoint
         events = self._splitter.feed(data)
         if not events:
             return
@@ -328,6 +329,9 @@
             self._forwarder.chooser.record_prompt_read(
                 endpoint.host, self._pending_tokens
             )
+            self._forwarder.callbacks.notify_prompt_read(
+                self._admitted, self._pending_tokens, now() - attempt.sent_at
+            )
             self._pending_tokens = 0
         if self.log.first_part_at is None:
             self.log.first_part_at = now()
--- a/tests/decisions/test_budgets.py
+++ b/tests/decisions/test_budgets.py
@@ -18,13 +18,15 @@
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS = 0.2, 56.0, 10.0
 EXCHANGE_SECONDS = 0.25
 REACHABLE_SECONDS = 1.0
+STORE_SECONDS = 1.0
 COST = 2_000.0
 
 
 class QuotaMachine(RuleBasedStateMachine):
     """Hosts that admit requests and exchange their cumulative counts.
 
-    A host that restarts learns the levels from a host that it reaches.
+    A host that restarts takes over the levels that one host stores each second, and
+    then those of a host that it reaches.
     """
 
     def __init__(self):
@@ -39,6 +41,7 @@
         self.exchanged_at = {(a, b): 0.0 for a in HOSTS for b in HOSTS if a != b}
         self.admitted = []
         self.started_at = {}
+        self.stored_levels = None
         for host in HOSTS:
             self.start(host, is_first=True)
 
@@ -50,6 +53,12 @@
             tolerance, restarted_at=None if is_first else self.now
         )
         self.started_at[host] = self.now
+        if not is_first and self.stored_levels is not None:
+            levels, stored_at = self.stored_levels
+            refill_seconds = min(max(0.0, self.now - stored_at - STORE_SECONDS), 3.0)
+            self.limiters[host].adopt_levels(
+                levels, self.now - refill_seconds, is_current=False
+            )
 
     def counts(self, host):
         exchanged = [self.exchanged_at[host, o] for o in HOSTS if o != host]
@@ -109,6 +118,16 @@
                 self.limiters[host].observe(process, spent, is_recent=is_recent)
         for host in HOSTS:
             self.learn_levels(host)
+        self.store_levels(HOSTS[0])
+
+    def store_levels(self, holder):
+        levels = self.limiters[holder].levels(self.now)
+        is_due = (
+            self.stored_levels is None
+            or self.now >= self.stored_levels[1] + STORE_SECONDS
+        )
+        if levels is not None and is_due:
+            self.stored_levels = (levels, self.now)
 
     def learn_levels(self, host):
         limiter = self.limiters[host]
--- a/tests/decisions/test_planner.py
+++ b/tests/decisions/test_planner.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from itertools import product
+
 import pytest
 
-from amaranthhollow.decisions.choice import EndpointLoad
-from amaranthhollow.decisions.demand import DemandEstimate, busy_engines
-from amaranthhollow.decisions.planner import EngineCounts, plan_service
+from amaranthhollow.decisions.demand import DemandEstimate
+from amaranthhollow.decisions.planner import (
+    EngineCounts,
+    cheapest_counts,
+    plan_service,
+)
 from amaranthhollow.decisions.site import ScalingBounds
 
 CENTRES = {"dc-1": 1.0, "dc-2": 0.8, "dc-3": 1.25, "dc-4": 0.9}
@@ -48,35 +53,79 @@
         assert total == bounds.max_engines
 
 
-def test_on_demand_engines_stay_until_reclaimable_ones_serve(bounds):
-    before = plan_service("model", bounds, {"dc-1": EngineCounts(0, 2)}, needed=2)
-    after = plan_service("model", bounds, {"dc-1": EngineCounts(2, 2)}, needed=2)
+def test_on_demand_engines_stay_until_reclaimable_ones_survive_a_loss(bounds):
+    before = {"dc-1": EngineCounts(0, 2)}
+    one_centre = {"dc-1": EngineCounts(2, 2)}
+    two_centres = {**one_centre, "dc-2": EngineCounts(2, 0)}
+    on_demand = [
+        counts_by_data_centre(
+            plan_service("model", bounds, counts, needed=2, needed_with_on_demand=2),
+            is_reclaimable=False,
+        )["dc-1"]
+        for counts in (before, one_centre, two_centres)
+    ]
 
-    assert counts_by_data_centre(before, is_reclaimable=False)["dc-1"] == 2
-    assert counts_by_data_centre(after, is_reclaimable=False)["dc-1"] == 0
+    assert on_demand == [2, 2, 0]
 
 
 def test_idle_site_keeps_no_on_demand_engines(bounds):
     counts = {"dc-1": EngineCounts(0, 2)}
-    orders = plan_service("model", bounds, counts, needed=9, is_idle=True)
+    orders = plan_service(
+        "model", bounds, counts, needed=9, needed_with_on_demand=9, is_idle=True
+    )
 
     assert sum(counts_by_data_centre(orders, is_reclaimable=False).values()) == 0
 
 
-def test_unavailable_reclaimable_engines_are_replaced_on_demand(bounds):
+def test_on_demand_engines_replace_those_that_the_next_loss_takes(bounds):
+    """One data centre has none available; nine engines are there, three a centre."""
     counts = dict.fromkeys(["dc-1", "dc-2", "dc-3"], EngineCounts(3, 0))
     orders = plan_service(
         "model",
         bounds,
         counts,
         needed=11,
-        needed_with_on_demand=11,
+        needed_with_on_demand=8,
         unavailable=["dc-4"],
     )
 
     assert sum(counts_by_data_centre(orders, is_reclaimable=False).values()) == 2
 
 
+def test_reclaims_of_all_data_centres_in_turn_leave_enough_engines(bounds):
+    """Each is announced only after on-demand engines of the last plan have started.
+
+    No reclaimable engine is available again meanwhile.
+    """
+    needed = 4
+    orders = plan_service("model", bounds, {}, needed, needed)
+    counts = {
+        centre: EngineCounts(count, 0)
+        for centre, count in counts_by_data_centre(orders, is_reclaimable=True).items()
+    }
+    for number, lost in enumerate(["dc-4", "dc-3", "dc-2", "dc-1"], 1):
+        counts[lost] = EngineCounts(0, counts[lost].on_demand)
+        assert sum(c.reclaimable + c.on_demand for c in counts.values()) >= needed
+        unavailable = ["dc-4", "dc-3", "dc-2", "dc-1"][:number]
+        orders = plan_service("model", bounds, counts, needed, needed, unavailable)
+        on_demand = counts_by_data_centre(orders, is_reclaimable=False)
+        counts = {
+            centre: EngineCounts(counts[centre].reclaimable, on_demand[centre])
+            for centre in CENTRES
+        }
+
+    assert sum(c.on_demand for c in counts.values()) == needed
+
+
+def test_data_centres_that_can_provide_engines_replace_the_others(bounds):
+    counts = dict.fromkeys(CENTRES, EngineCounts(2, 0))
+    orders = plan_service("model", bounds, counts, 6, unavailable=["dc-2"])
+    others = counts_by_data_centre(orders, is_reclaimable=True)
+    del others["dc-2"]
+
+    assert sum(others.values()) - max(others.values()) >= 6
+
+
 def test_on_demand_engines_fit_within_reached_bounds(bounds):
     """All data centres were at their maximum; three are reclaimed and unavailable."""
     lost = ["dc-1", "dc-2", "dc-3"]
@@ -85,17 +134,47 @@
         "model", bounds, counts, needed=12, needed_with_on_demand=12, unavailable=lost
     )
 
-    assert sum(counts_by_data_centre(orders, is_reclaimable=False).values()) == 7
+    assert sum(counts_by_data_centre(orders, is_reclaimable=False).values()) == 12
+    for centre in lost:
+        total = sum(o.count for o in orders if o.data_centre == centre)
+        assert total <= bounds.max_engines
 
 
 def test_on_demand_engines_stay_until_reclaimable_ones_return(bounds):
     counts = dict.fromkeys(CENTRES, EngineCounts(0, 2))
-    orders = plan_service("model", bounds, counts, needed=15)
+    orders = plan_service("model", bounds, counts, 15, 15)
 
     assert set(counts_by_data_centre(orders, is_reclaimable=False).values()) == {2}
     assert set(counts_by_data_centre(orders, is_reclaimable=True).values()) == {3}
 
 
+@pytest.mark.parametrize(
+    "prices",
+    [
+        CENTRES,
+        {"a": 1.0},
+        {"a": 1.0, "b": 3.0},
+        {"a": 0.5, "b": 0.5, "c": 0.5, "d": 2.0, "e": 2.0},
+    ],
+)
+@pytest.mark.parametrize("needed", [0, 1, 2, 3, 5, 7])
+def test_reclaimable_mix_is_the_cheapest_of_all(prices, needed):
+    max_count = 4
+    found = cheapest_counts(prices, needed, 1, max_count)
+
+    def cost(counts):
+        return sum(price * n for price, n in zip(prices.values(), counts, strict=True))
+
+    def survives(counts):
+        lost = max(counts) if len(counts) > 1 else 0
+        return sum(counts) - lost >= needed
+
+    all_mixes = product(range(1, max_count + 1), repeat=len(prices))
+    feasible = [cost(counts) for counts in all_mixes if survives(counts)]
+    expected = min(feasible, default=cost([max_count] * len(prices)))
+    assert cost(found.values()) == pytest.approx(expected)
+
+
 def test_starting_engines_are_not_replaced_on_demand(bounds):
     orders = plan_service("model", bounds, {}, needed=11)
 
@@ -133,8 +212,3 @@
     )
 
     assert sum(by_centre.values()) - max(by_centre.values()) >= 45
-
-
-def test_backlog_counts_as_more_than_one_busy_engine():
-    assert busy_engines([EndpointLoad(1, 0), EndpointLoad(1, 500)]) == 1.0
-    assert busy_engines([EndpointLoad(9, 50_000)]) == 2.5
--- a/tests/decisions/test_sharing.py
+++ b/tests/decisions/test_sharing.py
@@ -34,7 +34,13 @@
 
 
 def max_admitted_per_window(
-    demand_factor, *, is_connected, idle_seconds, seconds=20.0, restarts_at=1000.0
+    demand_factor,
+    *,
+    is_connected,
+    idle_seconds,
+    seconds=20.0,
+    restarts_at=1000.0,
+    cost=2_000.0,
 ):
     """Return the maximum that all hosts admit in any window, in tokens.
 
@@ -45,7 +51,6 @@
     for limiter in limiters:
         limiter.admit("w", QUOTA, 1.0, HostCounts(HOSTS, HOSTS), -idle_seconds)
     counts = HostCounts(HOSTS, HOSTS if is_connected else 1)
-    cost = 2_000.0
     restarts_step = int(restarts_at / STEP_SECONDS)
     pending_costs = [0.0] * HOSTS
     admitted = []
@@ -77,19 +82,21 @@
 @pytest.mark.parametrize("demand_factor", [1.5, 4.0, 8.0])
 @pytest.mark.parametrize("is_connected", [True, False])
 @pytest.mark.parametrize("idle_seconds", [0.0, 10.0])
+@pytest.mark.parametrize("cost", [2_000.0, 17_000.0])
 def test_overload_by_one_workspace_stays_within_its_quota(
-    demand_factor, is_connected, idle_seconds
+    demand_factor, is_connected, idle_seconds, cost
 ):
     max_admitted = max_admitted_per_window(
-        demand_factor, is_connected=is_connected, idle_seconds=idle_seconds
+        demand_factor, is_connected=is_connected, idle_seconds=idle_seconds, cost=cost
     )
 
     assert max_admitted <= (RATE * WINDOW_SECONDS + RATE) * (1 + EXCESS_RATIO) + SLACK
 
 
-def test_restart_of_all_hosts_does_not_refill_the_quota():
+@pytest.mark.parametrize("cost", [2_000.0, 17_000.0])
+def test_restart_of_all_hosts_does_not_refill_the_quota(cost):
     max_admitted = max_admitted_per_window(
-        4.0, is_connected=True, idle_seconds=10.0, restarts_at=4.0
+        4.0, is_connected=True, idle_seconds=10.0, restarts_at=4.0, cost=cost
     )
 
     assert max_admitted <= (RATE * WINDOW_SECONDS + RATE) * (1 + EXCESS_RATIO) + SLACK
@@ -240,3 +247,22 @@
     admitted = [limiter.admit("w", quota, 5_000.0, hosts, 2.0) for _ in range(2)]
 
     assert all(isinstance(decision, Admit) for decision in admitted)
+
+
+def test_buckets_refill_while_no_host_runs():
+    """All hosts were down for two seconds; the levels were stored before."""
+    limiter = QuotaLimiter(restarted_at=10.0)
+    limiter.adopt_levels({"w": 20_000.0}, 9.5, is_current=False)
+    limiter.admit("w", QUOTA, 1.0, HostCounts(HOSTS, HOSTS), 10.1)
+
+    assert limiter.levels(12.0)["w"] == pytest.approx(80_000.0 - 1.0)
+
+
+def test_stored_levels_are_replaced_by_those_of_a_host():
+    limiter = QuotaLimiter(restarted_at=10.0)
+    limiter.adopt_levels({"w": 20_000.0}, 9.5, is_current=False)
+    limiter.admit("w", QUOTA, 1.0, HostCounts(HOSTS, HOSTS), 10.1)
+    assert limiter.levels(10.1) is None
+    limiter.adopt_levels({"w": 5_000.0}, 10.2)
+
+    assert limiter.levels(10.2)["w"] == pytest.approx(5_000.0 - 1.0)
