End the reload of a claim head whose segments a restored store lacks

Cause: a daemon that did not know of a restore could write its head of the earlier era after it, with a reference to a segment that the copy lacks. Daemons that read that head loaded the segment again and again without end. Change: references of a head of an earlier era to missing segments are dropped, and a daemon also holds the records of its cached view, which it writes again. The new test did not end before, and passes; 3 x 1,200 random examples of the state machine held, of which two did not end before.

--- a/src/amaranthhollow/decisions/claim_restoration.py
+++ b/src/amaranthhollow/decisions/claim_restoration.py
@@ -1,8 +1,10 @@
 """Writes claims again that the key-value service lost by returning from an older copy.
 
 Every daemon keeps the records that it made durable, or that the owner of their shard
-made durable for it, for as long as a copy may be old. A record is lost only with all
-daemons that hold it.
+made durable for it, for as long as a copy may be old. A daemon that did not know of the
+restore may have replaced the restored head by one whose segments the copy lacks, so it
+keeps the records of its cached view as well. A record is lost only with all daemons
+that hold it.
 """
 
 from __future__ import annotations
@@ -17,12 +19,15 @@
     from collections.abc import Iterable
 
     from amaranthhollow.decisions.claim_records import ClaimRecord
+    from amaranthhollow.decisions.claim_shard import ShardView
     from amaranthhollow.decisions.claim_state import ShardState
 
 __all__ = [
     "GRANT_DELAY_SECONDS",
     "HELD_RECORD_SECONDS",
+    "drop_lost_segments",
     "hold_records",
+    "hold_view",
     "mark_restored",
     "with_held_records",
 ]
@@ -44,12 +49,32 @@
     return replace(state, held_by_key=held)
 
 
+def hold_view(state: ShardState, now: float) -> ShardState:
+    """Return the state that also holds all records of the cached view."""
+    if state.view is None:
+        return state
+    held = dict(state.held_by_key)
+    for record in state.view.all_records():
+        held.setdefault(
+            record.key_digest, HeldRecord(record, now + HELD_RECORD_SECONDS)
+        )
+    return replace(state, held_by_key=held)
+
+
+def drop_lost_segments(view: ShardView) -> ShardView:
+    """Return the view of a head of an earlier era, without segments that were lost."""
+    missing = set(view.missing_segment_ids)
+    segments = tuple(s for s in view.head.segments if s.segment_id not in missing)
+    return replace(view, head=ClaimHead(view.head.records, segments))
+
+
 def mark_restored(state: ShardState, now: float) -> ShardState:
     """Return the state after the service returned from an older copy.
 
     The cached head is read again, after the call in progress if there is one.
     """
     is_idle = state.phase is Phase.IDLE
+    state = hold_view(state, now)
     return replace(
         state,
         view=None if is_idle else state.view,
--- a/src/amaranthhollow/decisions/claim_shard.py
+++ b/src/amaranthhollow/decisions/claim_shard.py
@@ -20,7 +20,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
     from amaranthhollow.decisions.claim_messages import OutcomeReported
     from amaranthhollow.decisions.store_position import StorePosition
@@ -75,6 +75,13 @@
                 return record
         return None
 
+    def all_records(self) -> Iterator[ClaimRecord]:
+        """Yield the records of the head and of the loaded segments, newest first."""
+        yield from reversed(self.head.records)
+        for reference in reversed(self.head.segments):
+            records = self.records_by_segment_id.get(reference.segment_id, {})
+            yield from records.values()
+
     def with_segment(self, segment_id: str, segment: Segment) -> ShardView:
         """Return the view with a segment added."""
         loaded = dict(self.records_by_segment_id)
--- a/src/amaranthhollow/decisions/claims.py
+++ b/src/amaranthhollow/decisions/claims.py
@@ -48,7 +48,9 @@
 )
 from amaranthhollow.decisions.claim_resolution import resolve_waiting_claims
 from amaranthhollow.decisions.claim_restoration import (
+    drop_lost_segments,
     hold_records,
+    hold_view,
     mark_restored,
     with_held_records,
 )
@@ -104,6 +106,7 @@
         case WriteConflicted():
             return _start_next_call(_requeue_batch(state, is_uncertain=False), now)
         case WriteUncertain():
+            state = hold_view(state, now)
             return _start_next_call(_requeue_batch(state, is_uncertain=True), now)
         case ServiceFailed():
             return _service_failed(state, now)
@@ -181,7 +184,9 @@
     view = state.view
     for segment_id, segment in event.segments_by_id.items():
         view = view.with_segment(segment_id, segment)
-    if view.missing_segment_ids:
+    if view.missing_segment_ids and view.position is None:
+        view = drop_lost_segments(view)
+    elif view.missing_segment_ids:
         # Segments were merged or expired after the head was read; reload the head.
         view = None
     return _start_next_call(replace(state, phase=Phase.IDLE, view=view), now)
--- a/tests/decisions/test_claim_restoration.py
+++ b/tests/decisions/test_claim_restoration.py
@@ -17,6 +17,7 @@
     RefusalReason,
     RefuseClaim,
     ReplayAnswer,
+    WriteHead,
 )
 from amaranthhollow.decisions.claim_restoration import (
     GRANT_DELAY_SECONDS,
@@ -153,3 +154,32 @@
     claim_and_run(model, daemon, "k2")
 
     assert len(daemon.state.held_by_key) == 1
+
+
+def test_head_of_an_earlier_era_may_refer_to_a_lost_segment(model, monkeypatch):
+    """A daemon that does not know of the restore spills to a segment, then the head.
+
+    Only the head reaches the restored service; the daemon holds the records of both.
+    """
+    monkeypatch.setattr(claim_shard, "MAX_SHARD_HEAD_BYTES", 120)
+    first, second = model.daemons
+    records = [model.request(first, f"k{number}") for number in range(4)]
+    model.run_until_idle()
+    for record in records:
+        model.run(first, record)
+    model.take_copy()
+    model.request(first, "k4")
+    while not isinstance(first.call, WriteHead):
+        model.carry_out(first)
+        model.deliver(first)
+    model.restore(len(model.service.copies) - 1)
+    model.service.segments_by_id.clear()
+    model.carry_out(first)
+    model.deliver(first)
+    model.run_until_idle()
+    repeats = [model.request(second, f"k{number}") for number in range(4)]
+    model.run_until_idle()
+
+    in_progress = RefusalReason.IN_PROGRESS
+    for repeat in repeats:
+        assert result(model, repeat) == RefuseClaim(repeat.claim_id, in_progress)
