--- a/tests/state/test_restored_store.py
+++ b/tests/state/test_restored_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 from aiohttp import web
@@ -14,6 +15,7 @@
     ClaimRecord,
     ClaimState,
     digest,
+    shard_of,
 )
 from amaranthhollow.decisions.claim_restoration import GRANT_DELAY_SECONDS
 from amaranthhollow.decisions.configuration import RevisionBody, encode_json
@@ -230,3 +232,30 @@
     for position in (StorePosition(0, 7), StorePosition(3, 0), StorePosition(8191, 9)):
         assert StorePosition.from_fencing_token(position.fencing_token) == position
     assert StorePosition(8191, 2**40 - 1).fencing_token < 2**53
+
+
+def names_in_one_shard(count):
+    names = (f"k{number}" for number in itertools.count())
+    same = (name for name in names if shard_of(digest(name)) == 0)
+    return list(itertools.islice(same, count))
+
+
+async def test_daemon_that_missed_a_restore_overwrites_no_claim(
+    make_client, store, clock
+):
+    """The head of the new era has the revision that the daemon expects."""
+    first, second, third = names_in_one_shard(3)
+    copy = store.take_copy()
+    late, current, other = (ClaimStore(make_client(), clock) for _ in range(3))
+    assert isinstance(await late.claim(claim(first, 1), 1010.0), GrantClaim)
+    store.restore(copy)
+    for claims in (current, other):
+        await claims._store.get("a")
+    clock.now += GRANT_DELAY_SECONDS
+    granted = await current.claim(claim(second, 2), 1010.0)
+    refused = await late.claim(claim(third, 3), 1010.0)
+    repeat = await other.claim(claim(second, 4), 1010.0)
+
+    assert isinstance(granted, GrantClaim)
+    assert not isinstance(refused, GrantClaim)
+    assert not isinstance(repeat, GrantClaim)
