--- a/src/amaranthhollow/daemon/state_dump.py
+++ b/src/amaranthhollow/daemon/state_dump.py
@@ -77,9 +77,11 @@
 
 def _describe_shard(node: Node, shard: int) -> dict[str, Any]:
     state = node.claim_store.shard_state(shard)
+    position = state.view.position if state.view else None
     return {
         "phase": state.phase.value,
-        "revision": state.view.revision if state.view else None,
+        "era": position.era if position else None,
+        "revision": position.revision if position else None,
         "records": len(state.view.head.records) if state.view else None,
         "segments": len(state.view.head.segments) if state.view else None,
         "waiting": len(state.waiting),
