Log the limits that endpoints state in their responses

The header is decoded in platform/, and each change is logged. Nothing is decided by it. tests/platform: 17 passed.

--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from amaranthhollow.decisions.endpoints import Endpoint
+    from amaranthhollow.entry.endpoint_limits import EndpointLimits
     from amaranthhollow.entry.host import Host
     from amaranthhollow.serving.admission import Admission
     from amaranthhollow.serving.exchange import Exchange
@@ -34,8 +35,8 @@
 log = logbook.Logger("requests")
 
 
-def forwarding_callbacks(host: Host) -> ForwardingCallbacks:
-    """Return the callbacks that connect the forwarder to ``host``."""
+def forwarding_callbacks(host: Host, limits: EndpointLimits) -> ForwardingCallbacks:
+    """Return the callbacks that connect the forwarder to ``host`` and ``limits``."""
 
     def spend_retry(service: str) -> bool:
         host_count = host.host_counts.total
@@ -61,6 +62,7 @@
         notify_response_started,
         notify_prompt_read,
         notify_connection_lost,
+        limits.observe_response,
         host.random.random,
     )
 
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -19,6 +19,7 @@
 from amaranthhollow.decisions.usage import UsageCounts
 from amaranthhollow.entry.crash_detector import CrashDetector
 from amaranthhollow.entry.duty_lease import DutyLease
+from amaranthhollow.entry.endpoint_limits import EndpointLimits
 from amaranthhollow.entry.host import Host
 from amaranthhollow.entry.metrics import CONTENT_TYPE, Metrics
 from amaranthhollow.entry.peer_documents import PeerDocuments
@@ -76,8 +77,13 @@
         self._host = host = _build_host(settings)
         self._pool = ConnectionPool()
         codec = EndpointCodec(encode_dispatch, expected_echo, decode_response_head)
+        limits = EndpointLimits()
         self._forwarder = Forwarder(
-            host.site, self._pool, host.chooser, codec, forwarding_callbacks(host)
+            host.site,
+            self._pool,
+            host.chooser,
+            codec,
+            forwarding_callbacks(host, limits),
         )
         self._max_key_age_seconds = (
             settings.bounds.key_removal_ms / 1000 - KEY_AGE_MARGIN_SECONDS
--- a/src/amaranthhollow/platform/endpoints.py
+++ b/src/amaranthhollow/platform/endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from amaranthhollow.platform import names
@@ -63,9 +64,21 @@
         is_signed=find_header(headers, names.SIGNATURE) is not None,
         is_event_stream=content_type.startswith(names.EVENT_STREAM),
         idle_timeout_seconds=_idle_seconds(find_header(headers, names.KEEP_ALIVE)),
+        rate_limit=_rate_limit(find_header(headers, names.RATE_LIMIT)),
     )
 
 
+def _rate_limit(value: bytes | None) -> float | None:
+    """Return the requests per second that an endpoint accepts, or None without limit.
+
+    A value that cannot be read counts as 0, since the endpoint does state a limit.
+    """
+    if value is None:
+        return None
+    rate = _parse_decimal(value.strip())
+    return rate if rate is not None and isfinite(rate) and rate >= 0 else 0.0
+
+
 def _idle_seconds(value: bytes | None) -> float | None:
     """Return how long a connection may stay idle, or None if this is not announced.
 
@@ -73,13 +86,13 @@
     subtracted.
     """
     for item in (value or b"").split(b","):
-        seconds = _parse_seconds(item.strip().removeprefix(b"timeout="))
+        seconds = _parse_decimal(item.strip().removeprefix(b"timeout="))
         if seconds is not None:
             return max(0.0, seconds - IDLE_MARGIN_SECONDS)
     return None
 
 
-def _parse_seconds(value: bytes | None) -> float | None:
+def _parse_decimal(value: bytes | None) -> float | None:
     try:
         return float(value) if value else None
     except ValueError:
--- a/src/amaranthhollow/platform/names.py
+++ b/src/amaranthhollow/platform/names.py
@@ -29,6 +29,7 @@
 SIGNATURE = b"x-server-stamp"
 NOT_RUN = b"x-not-run"
 KEEP_ALIVE = b"keep-alive"
+RATE_LIMIT = b"server-limit"
 EVENT_STREAM = b"text/event-stream"
 
 # Rises by one whenever the store has returned from an older copy of itself.
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -18,7 +18,7 @@
     from amaranthhollow.serving.admission import Admitted
     from amaranthhollow.serving.connection_pool import ConnectionPool
     from amaranthhollow.serving.exchange import Exchange
-    from amaranthhollow.serving.request import CallerRequest
+    from amaranthhollow.serving.request import CallerRequest, ResponseInfo
     from amaranthhollow.state.site_state import SiteState
 
 __all__ = ["Forwarder", "ForwardingCallbacks", "RequestLog"]
@@ -40,14 +40,16 @@
 
     ``spend_retry`` takes a retry from the budget of a service, and returns False if
     none is left. ``notify_prompt_read`` gets the prompt tokens that an endpoint had to
-    read for a first event, and the seconds it took. ``random`` returns a number from 0
-    to 1.
+    read for a first event, and the seconds it took. ``notify_response_head`` gets each
+    response of an endpoint, and the time at which the request was sent. ``random``
+    returns a number from 0 to 1.
     """
 
     spend_retry: Callable[[str], bool]
     notify_response_started: Callable[[Admitted], None]
     notify_prompt_read: Callable[[Admitted, int, float], None]
     notify_connection_lost: Callable[[CallerRequest, Admitted, Endpoint], None]
+    notify_response_head: Callable[[Endpoint, ResponseInfo, float], None]
     random: Callable[[], float]
 
 
--- a/src/amaranthhollow/serving/request.py
+++ b/src/amaranthhollow/serving/request.py
@@ -62,6 +62,8 @@
 
     ``did_not_run`` is whether the endpoint states that it has not started the request.
     ``idle_timeout_seconds`` is how long it keeps an idle connection, if it states so.
+    ``rate_limit`` is the number of requests per second that it accepts from all hosts
+    together, or None if it states no limit.
     """
 
     head: ResponseHead
@@ -70,3 +72,4 @@
     is_signed: bool
     is_event_stream: bool
     idle_timeout_seconds: float | None = None
+    rate_limit: float | None = None
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -189,6 +189,9 @@
         head = await self._read_head(attempt, endpoint)
         match head:
             case ResponseInfo():
+                self._forwarder.callbacks.notify_response_head(
+                    endpoint, head, attempt.sent_at
+                )
                 return await self._read_response(attempt, endpoint, head)
             case ConnectionLost(kind, detail):
                 return self._connection_lost(endpoint, f"{kind.value}: {detail}")
