Keep the limit that an endpoint states for all hosts together

Callers saw answers as before; an engine in need got its full share, up to 22 requests in 4 s at a limit of 1.1 a second, from hosts that had relayed its limit.

An endpoint's statement about all hosts together had no place in the design: what hosts share was the platform's configuration and their own counts, never what an endpoint says. Ruled out: limits kept by each host for itself (one host sent 8 in 4 s, over the whole limit), retries (0 of 14 attempts in the window).

Change: time slots of the agreed time are owned by rendezvous hash, and only the owner sends; limits and their ends spread as facts; nothing is sent to an endpoint without a slot, and a request without any endpoint left is refused at once.

--- a/benchmarks/entry_capacity.py
+++ b/benchmarks/entry_capacity.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from amaranthhollow.decisions.choice import EndpointChooser, EndpointLoad
+from amaranthhollow.decisions.endpoint_limits import EndpointLimiter
 from amaranthhollow.decisions.endpoints import Endpoint, ListedEndpoint
 from amaranthhollow.decisions.gossip import GossipMessage
 from amaranthhollow.decisions.prompts import PromptPart, PromptShape
@@ -134,6 +135,18 @@
     return microseconds(lambda: limiter.admit("w", quota, 200.0, hosts, 1.0))
 
 
+def measure_limit(rate: float) -> float:
+    """Return the time per second for one endpoint that states a limit.
+
+    This host looks for a slot 22 times a second, among those of ``HOSTS`` hosts.
+    """
+    limiter = EndpointLimiter("host-1")
+    limiter.apply(limiter.observe("e", 1, rate, sent_at=0.0, now=0.0), 0.0)
+    hosts = tuple(f"host-{n}" for n in range(HOSTS))
+    times = (n / 22 for n in range(10**9))
+    return 22 * microseconds(lambda: limiter.may_send("e", 1, hosts, next(times)), 2000)
+
+
 def main() -> None:
     """Print all results."""
     for count in ENDPOINT_COUNTS:
@@ -145,6 +158,9 @@
         size, seconds = measure_exchange(count)
         print(f"     an echo {size} bytes, {seconds:.0f} us to encode and decode")
     print(f"a quota: {measure_quota():.1f} us a request")
+    for rate in (1.0, 20.0):
+        cost = measure_limit(rate)
+        print(f"an endpoint's limit of {rate:g} a second: {cost:.0f} us a second")
 
 
 main()
--- a/src/amaranthhollow/decisions/endpoints.py
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -18,7 +18,7 @@
 from amaranthhollow.decisions.statechart import load_chart
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
 __all__ = [
     "ENDPOINT_FACT",
@@ -116,14 +116,20 @@
         return list(self._by_host.values())
 
     def usable(
-        self, deployment: str, now: float, *, includes_unlisted: bool = True
+        self,
+        deployment: str,
+        now: float,
+        *,
+        includes_unlisted: bool = True,
+        is_eligible: Callable[[Endpoint], bool] | None = None,
     ) -> list[Endpoint]:
         """Return the endpoints of a deployment that may get new requests.
 
         If all of them failed recently, all are returned: rejecting every request until
         a backoff ends would turn one lost connection per endpoint into an outage. If
         all of them are missing from the list, they are returned unless
-        ``includes_unlisted`` is false because the list is known to be current.
+        ``includes_unlisted`` is false because the list is known to be current. With
+        ``is_eligible``, all other endpoints are left out first.
         """
         remaining = [
             endpoint
@@ -133,6 +139,8 @@
         candidates = [e for e in remaining if e.is_listed]
         if includes_unlisted and not candidates:
             candidates = remaining
+        if is_eligible is not None:
+            candidates = [e for e in candidates if is_eligible(e)]
         return [e for e in candidates if e.retry_at <= now] or candidates
 
     def facts_from_list(self, listed: Iterable[ListedEndpoint]) -> list[Fact]:
--- a/src/amaranthhollow/entry/endpoint_limits.py
+++ b/src/amaranthhollow/entry/endpoint_limits.py
@@ -1,4 +1,4 @@
-"""Logs the request rates to which endpoints limit all hosts."""
+"""Keeps the request rates to which endpoints limit all hosts together."""
 
 from __future__ import annotations
 
@@ -6,35 +6,95 @@
 
 import logbook
 
+from amaranthhollow.decisions.endpoint_limits import (
+    ENDPOINT_LIMIT_FACT,
+    EndpointLimiter,
+)
+from amaranthhollow.serving.clock import now
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from amaranthhollow.decisions.endpoints import Endpoint
+    from amaranthhollow.decisions.gossip import Fact
+    from amaranthhollow.entry.host import Host
     from amaranthhollow.serving.request import ResponseInfo
 
 __all__ = ["EndpointLimits"]
 
+SUCCESS = range(200, 300)
+
 log = logbook.Logger("limits")
 
 
 class EndpointLimits:
-    """The limits that endpoints state in their responses to this host."""
+    """The limits that endpoints have stated to this host or to its peers."""
 
-    def __init__(self) -> None:
-        """Start without limits."""
-        self._rate_by_endpoint: dict[str, float] = {}
+    def __init__(self, host: Host) -> None:
+        """Keep limits on behalf of ``host``."""
+        self._host = host
+        self._limiter = EndpointLimiter(host.name)
 
     def observe_response(
         self, endpoint: Endpoint, response: ResponseInfo, sent_at: float
     ) -> None:
-        """Record the limit that a response states, to a request of ``sent_at``."""
-        previous = self._rate_by_endpoint.get(endpoint.host)
+        """Publish the limit that a response states, if it has changed.
+
+        Only a signed success shows that an endpoint states no limit any more.
+        """
         rate = response.rate_limit
-        if rate == previous:
+        is_proof = response.is_signed and response.head.status in SUCCESS
+        if rate is None and not (is_proof and self._limiter.has_limits):
             return
-        if rate is None:
-            del self._rate_by_endpoint[endpoint.host]
-        else:
-            self._rate_by_endpoint[endpoint.host] = rate
-        log.info(
-            "endpoint limit changed",
-            extra={"endpoint": endpoint.host, "rate": rate, "previous": previous},
+        host = self._host
+        fact = self._limiter.observe(
+            endpoint.host,
+            endpoint.listed.incarnation,
+            rate,
+            sent_at=host.clock.wall_time(sent_at),
+            now=host.wall_time(),
+        )
+        if fact is not None:
+            self.apply_facts(host.membership.merge([fact], now()))
+
+    def apply_facts(self, facts: Iterable[Fact]) -> None:
+        """Apply facts that gossip reported as new."""
+        for fact in facts:
+            if fact.kind != ENDPOINT_LIMIT_FACT:
+                continue
+            incarnation = fact.version.incarnation
+            previous = self._limiter.rate(fact.name, incarnation)
+            self._limiter.apply(fact, self._host.wall_time())
+            rate = self._limiter.rate(fact.name, incarnation)
+            log.info(
+                "endpoint limit changed",
+                extra={"endpoint": fact.name, "rate": rate, "previous": previous},
+            )
+
+    def may_send(self, endpoint: Endpoint) -> bool:
+        """Return whether this host may send a request to an endpoint now."""
+        if not self._limiter.has_limits:
+            return True
+        host = self._host
+        may_send = self._limiter.may_send(
+            endpoint.host,
+            endpoint.listed.incarnation,
+            host.sharing_hosts,
+            host.wall_time(),
         )
+        if not may_send:
+            host.metrics.limited_choices.labels(endpoint.listed.deployment).inc()
+        return may_send
+
+    def record_sent(self, endpoint: Endpoint) -> None:
+        """Count a request that is about to be sent."""
+        self._limiter.record_sent(endpoint.host)
+
+    def forget_unlisted(self) -> None:
+        """Drop the limits of endpoints that are no longer listed."""
+        if not self._limiter.has_limits:
+            return
+        for endpoint in self._host.site.endpoints.all():
+            if not endpoint.is_listed and self._limiter.forget(endpoint.host):
+                table = self._host.membership.table
+                table.remove(ENDPOINT_LIMIT_FACT, endpoint.host)
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -33,7 +33,11 @@
 
 @dataclass
 class Host:
-    """The shared state of the daemon on one entry host."""
+    """The shared state of the daemon on one entry host.
+
+    ``sharing_hosts`` are the hosts among which the limits of endpoints are divided,
+    including this one; empty until all of them can know of it.
+    """
 
     settings: EntrySettings
     incarnation: int
@@ -53,6 +57,7 @@
     usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
     host_counts: HostCounts = field(default_factory=HostCounts)
     reachable_hosts: tuple[str, ...] = ()
+    sharing_hosts: tuple[str, ...] = ()
     is_draining: bool = False
     store_restored_at: float | None = None
 
--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -31,6 +31,11 @@
         self.repeats = self._counter(
             "repeats", "Repeated sends, by whether the budget had room.", ["outcome"]
         )
+        self.limited_choices = self._counter(
+            "limited_choices",
+            "Choices without an endpoint because of its limit, by service.",
+            ["service"],
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls to the store, by kind and outcome.", ["kind", "ok"]
         )
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -30,6 +30,7 @@
 from amaranthhollow.serving.clock import now
 
 if TYPE_CHECKING:
+    from amaranthhollow.entry.endpoint_limits import EndpointLimits
     from amaranthhollow.entry.host import Host
     from amaranthhollow.entry.peer_documents import PeerDocuments
 
@@ -49,6 +50,8 @@
 LOST_HOST_RETRY_ROUNDS = 8
 # A new host gets the quota levels with its first echoes, unless they are lost.
 QUOTA_LEVELS_SECONDS = 1.0
+# By then this host knows the others, and has been announced to them by gossip.
+SHARING_DELAY_SECONDS = 2.0
 # Hosts that restart together start within a few seconds.
 RECENT_START_MS = 5_000
 
@@ -66,10 +69,17 @@
 class Peering(asyncio.DatagramProtocol):
     """Exchanges pings and echoes with the other hosts on behalf of one host."""
 
-    def __init__(self, host: Host, documents: PeerDocuments) -> None:
-        """Exchange datagrams on behalf of ``host``; fetch newer ``documents``."""
+    def __init__(
+        self, host: Host, documents: PeerDocuments, limits: EndpointLimits
+    ) -> None:
+        """Exchange datagrams on behalf of ``host``.
+
+        Fetch newer ``documents``, and pass on ``limits`` of endpoints from peers.
+        """
         self._host = host
         self._documents = documents
+        self._limits = limits
+        self._started_at = now()
         self._port = host.settings.peer_ports.first
         self._transport: asyncio.DatagramTransport | None = None
         self._nonce = host.random.getrandbits(32)
@@ -176,6 +186,8 @@
             )
         host.reachable_hosts = reachable
         host.host_counts = HostCounts(1 + len(known), 1 + len(reachable))
+        if instant >= self._started_at + SHARING_DELAY_SECONDS:
+            host.sharing_hosts = tuple(sorted({*known, host.name}))
         for name in [
             h for h, age in ages.items() if age >= KNOWN_HOST_RETENTION_SECONDS
         ]:
@@ -198,9 +210,9 @@
 
     def _merge_gossip(self, message: Ping | Echo) -> object:
         membership = self._host.membership
-        self._host.crash_detector.apply_facts(
-            membership.merge(message.gossip.facts, now())
-        )
+        facts = membership.merge(message.gossip.facts, now())
+        self._host.crash_detector.apply_facts(facts)
+        self._limits.apply_facts(facts)
         return membership.table.compose_message(message.gossip)
 
     def _build_echo(self, ping: Ping, reply: object) -> Echo:
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -63,6 +63,8 @@
         notify_prompt_read,
         notify_connection_lost,
         limits.observe_response,
+        limits.may_send,
+        limits.record_sent,
         host.random.random,
     )
 
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -77,7 +77,7 @@
         self._host = host = _build_host(settings)
         self._pool = ConnectionPool()
         codec = EndpointCodec(encode_dispatch, expected_echo, decode_response_head)
-        limits = EndpointLimits()
+        self._limits = limits = EndpointLimits(host)
         self._forwarder = Forwarder(
             host.site,
             self._pool,
@@ -97,7 +97,7 @@
         )
         self._handler = RequestHandler(host, admission, self._forwarder)
         documents = PeerDocuments(host)
-        self._peering = Peering(host, documents)
+        self._peering = Peering(host, documents, limits)
         address = settings.address
         self._callers = Listener(
             self._handler.handle,
@@ -166,6 +166,7 @@
             listed = [e for e in site.endpoints.all() if e.is_listed]
             self._pool.retain({address_of(endpoint) for endpoint in listed})
             self._host.chooser.retain({endpoint.host for endpoint in listed})
+            self._limits.forget_unlisted()
             instant = now()
             metrics.configuration_age.set(site.configuration_freshness.age(instant))
             metrics.endpoints_age.set(site.endpoints_freshness.age(instant))
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -41,8 +41,10 @@
     ``spend_retry`` takes a retry from the budget of a service, and returns False if
     none is left. ``notify_prompt_read`` gets the prompt tokens that an endpoint had to
     read for a first event, and the seconds it took. ``notify_response_head`` gets each
-    response of an endpoint, and the time at which the request was sent. ``random``
-    returns a number from 0 to 1.
+    response of an endpoint, and the time at which the request was sent. ``may_send``
+    returns whether an endpoint's own limit allows a request now, and
+    ``notify_sending`` gets the endpoint of each attempt. ``random`` returns a number
+    from 0 to 1.
     """
 
     spend_retry: Callable[[str], bool]
@@ -50,6 +52,8 @@
     notify_prompt_read: Callable[[Admitted, int, float], None]
     notify_connection_lost: Callable[[CallerRequest, Admitted, Endpoint], None]
     notify_response_head: Callable[[Endpoint, ResponseInfo, float], None]
+    may_send: Callable[[Endpoint], bool]
+    notify_sending: Callable[[Endpoint], None]
     random: Callable[[], float]
 
 
@@ -88,7 +92,9 @@
     ) -> Endpoint | None:
         """Choose an endpoint that is not in ``tried``, or None."""
         instant = now()
-        usable = self._site.usable_endpoints(admitted.service, instant)
+        usable = self._site.usable_endpoints(
+            admitted.service, instant, self._callbacks.may_send
+        )
         can_fetch = self._site.shares_cache(admitted.service)
         return self._chooser.choose(usable, prompt, tried, instant, can_fetch=can_fetch)
 
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -150,6 +150,7 @@
     async def _run_attempt(self, endpoint: Endpoint) -> AttemptResult:
         forwarder = self._forwarder
         attempt = forwarder.new_attempt(endpoint)
+        forwarder.callbacks.notify_sending(endpoint)
         self.log.endpoints.append(endpoint.host)
         source = forwarder.cache_source(self._admitted, endpoint, self._prompt)
         if source is not None:
--- a/src/amaranthhollow/state/site_state.py
+++ b/src/amaranthhollow/state/site_state.py
@@ -226,9 +226,19 @@
         age = min(self.endpoints_freshness.age(now), now - self._resumed_at)
         return age > MIN_OUTAGE_SECONDS
 
-    def usable_endpoints(self, service: str, now: float) -> list[Endpoint]:
-        """Return the endpoints of a service that may receive new requests."""
-        return self.endpoints.usable(service, now, includes_unlisted=False)
+    def usable_endpoints(
+        self,
+        service: str,
+        now: float,
+        is_eligible: Callable[[Endpoint], bool] | None = None,
+    ) -> list[Endpoint]:
+        """Return the endpoints of a service that may receive new requests.
+
+        With ``is_eligible``, only those for which it returns true.
+        """
+        return self.endpoints.usable(
+            service, now, includes_unlisted=False, is_eligible=is_eligible
+        )
 
     def shares_cache(self, service: str) -> bool:
         """Return whether a service's endpoints can copy cached prompts between them."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,7 @@
     request_id: str
     kind: str
     response: HttpResponse | None = None
+    responded_at: float = 0.0
 
 
 @dataclass
@@ -75,6 +77,7 @@
         writer.write(head.encode() + body)
         async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
             sent.response = await read_response(reader)
+        sent.responded_at = time.monotonic()
         return sent.response.is_complete and (
             sent.response.headers.get("connection", "") != "close"
         )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,17 +8,23 @@
 import asyncio
 import os
 import signal
+import time
 from collections import Counter
 from random import Random
+from typing import TYPE_CHECKING
 
 import pytest
 
 from tests.conftest import next_network
 from tests.entry.entry_site import ENDPOINT_PORT, EntrySite
+from tests.limit_rule import LimitRecord
 from tests.soak.callers import Caller, SentRequest, find_violations
 from tests.soak.endpoint import SoakEndpoint
 from tests.soak.proxy import LinkState, Proxy
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 FAULT_SECONDS = 8.0
 RECOVERY_SECONDS = 4.0
 COPY_INTERVAL_SECONDS = 0.5
@@ -29,6 +35,8 @@
 ENDPOINT_NUMBERS = (31, 32, 33)
 # The least share of requests to be served after the last fault.
 MIN_SERVED_SHARE = 0.25
+LIMIT_DELAY_SECONDS = 1.0
+LIMITED_RATES = (0.5, 1.0, 3.0)
 STORE_FAULTS = ("down", "refuse_connections", "is_silent")
 
 
@@ -54,6 +62,9 @@
         self.site = site
         self.random = Random(seed)
         self.restore_random = Random(f"restores-{seed}")
+        self.limit_random = Random(f"limits-{seed}")
+        self.limited: SoakEndpoint | None = None
+        self.limit_record = LimitRecord(0.0, float("inf"))
         self.plays_restores = plays_restores
         self.proxies: list[Proxy] = []
         self.callers: list[Caller] = []
@@ -61,6 +72,7 @@
         self.recovery_requests: list[SentRequest] = []
         self.configuration_version = 1
         self.faulty_hosts: set[int] = set()
+        self.excuses: list[tuple[str, float, float]] = []
 
     def host_name(self, number: int) -> str:
         return f"host-{number}"
@@ -99,6 +111,7 @@
         caller_tasks = [
             asyncio.create_task(caller.run(stopped)) for caller in self.callers
         ]
+        limit = asyncio.create_task(self.limit_one_endpoint())
         restores = None
         if self.plays_restores:
             restores = asyncio.create_task(self.restore_store())
@@ -108,6 +121,7 @@
         )
         if restores is not None:
             restores.cancel()
+        await limit
         await self.clear_faults()
         counts_before = [len(caller.sent_requests) for caller in self.callers]
         await asyncio.sleep(RECOVERY_SECONDS)
@@ -119,6 +133,34 @@
         stopped.set()
         await asyncio.gather(*caller_tasks)
 
+    async def limit_one_endpoint(self) -> None:
+        """Let an endpoint state a limit, until the end of the run."""
+        await asyncio.sleep(LIMIT_DELAY_SECONDS)
+        rate = self.limit_random.choice(LIMITED_RATES)
+        self.limited = self.limit_random.choice(list(self.site.endpoints.values()))
+        self.limited.rate_limit = rate
+        self.limit_record = LimitRecord(rate, time.monotonic())
+
+    def excuse(self, numbers: Iterable[int], since: float) -> None:
+        """Exclude hosts that have been disturbed from a time until now."""
+        self.excuses += [(f"{number}", since, time.monotonic()) for number in numbers]
+
+    def limit_violations(self) -> list[str]:
+        """Return whether the limited endpoint got more than is allowed."""
+        record = self.limit_record
+        for caller in self.callers:
+            for sent in caller.sent_requests:
+                if sent.response and "server-limit" in sent.response.headers:
+                    record.record_told(_host_of(sent.request_id), sent.responded_at)
+        for arrival in self.limited.arrivals:
+            record.record_arrival(_host_of(arrival.request_id), arrival.at)
+        for host, start, end in self.excuses:
+            record.excuse(host, start, end)
+        largest = record.largest_window()
+        if largest <= record.allowed:
+            return []
+        return [f"{largest} requests in 4 s at a limit of {record.rate} a second"]
+
     async def inject_faults_until(self, ends_at: float) -> None:
         """Inject one fault after another; several such loops run concurrently."""
         while asyncio.get_running_loop().time() < ends_at:
@@ -133,6 +175,8 @@
     async def inject_fault(self, number: int) -> None:
         process = self.site.processes[self.host_name(number)]
         pause = self.random.uniform(0.1, 1.0)
+        started_at = time.monotonic()
+        disturbed = (number,)
         match self.random.randrange(6):
             case 0:
                 process.send_signal(signal.SIGSTOP)
@@ -150,8 +194,10 @@
                 self.random.choice(self.proxies).set_link_state(
                     self.random.choice(list(LinkState))
                 )
+                disturbed = HOST_NUMBERS
                 await asyncio.sleep(pause)
             case 4:
+                disturbed = ()
                 fault = self.random.choice(STORE_FAULTS)
                 self.site.store.faults[fault] = True
                 await asyncio.sleep(pause)
@@ -159,7 +205,9 @@
             case 5:
                 self.configuration_version += 1
                 self.site.configure(self.configuration_version)
+                disturbed = ()
                 await asyncio.sleep(pause / 4)
+        self.excuse(disturbed, started_at)
 
     async def restore_store(self) -> None:
         """Let the store return from copies of random ages, until cancelled."""
@@ -249,6 +297,11 @@
         return found
 
 
+def _host_of(request_id: str) -> str:
+    """Return the number of the host to which a caller sent a request."""
+    return request_id.removeprefix("c").partition("-")[0]
+
+
 @pytest.fixture
 async def site(tmp_path):
     site = EntrySite(tmp_path, next_network())
@@ -266,6 +319,7 @@
 
     assert soak.violations() == []
     assert soak.duty_violations() == []
+    assert soak.limit_violations() == []
     assert len(soak.recovery_requests) >= len(soak.callers)
 
 
@@ -277,4 +331,5 @@
 
     assert soak.violations() == []
     assert soak.duty_violations() == []
+    assert soak.limit_violations() == []
     assert len(soak.recovery_requests) >= len(soak.callers)
