Log the software versions of a stream's endpoints, and what a caller resumes

The logs could not tell streams mixed within one answer from those mixed over a client's tries. Entries' versions and the resumed request are decoded in platform/ and logged; nothing is decided by them.

--- a/src/amaranthhollow/decisions/endpoints.py
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -47,7 +47,8 @@
 
     ``leaves_at`` is the announced time of the reclaim, in seconds since the Unix epoch,
     or 0 if none is announced. ``slots`` is how many requests the endpoint runs
-    concurrently. The platform may reclaim an endpoint that ``is_reclaimable``.
+    concurrently. The platform may reclaim an endpoint that ``is_reclaimable``. What
+    endpoints of two ``software_version`` write does not fit together in one stream.
     """
 
     host: str
@@ -60,6 +61,7 @@
     leaves_at: float = 0.0
     slots: int = 1
     is_reclaimable: bool = False
+    software_version: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/amaranthhollow/platform/callers.py
+++ b/src/amaranthhollow/platform/callers.py
@@ -52,6 +52,7 @@
         if header[0] not in NOT_FORWARDED
     )
     last_event_id = find_header(headers, names.LAST_EVENT_ID)
+    resumed_id = find_header(headers, names.RESUMED_REQUEST)
     return CallerRequest(
         request_id=request_id.decode("latin-1"),
         hostname=_decode_text(hostname).partition(":")[0].lower(),
@@ -65,6 +66,7 @@
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         last_event_id=None if last_event_id is None else _decode_text(last_event_id),
+        resumed_id=None if resumed_id is None else _decode_text(resumed_id),
     )
 
 
--- a/src/amaranthhollow/platform/documents.py
+++ b/src/amaranthhollow/platform/documents.py
@@ -136,6 +136,7 @@
     is_reclaimable: bool = msgspec.field(name="spot", default=False)
     # Not a time: milliseconds from the write of the entry to the endpoint's reclaim.
     leaves_ms: float | None = None
+    software_version: str = msgspec.field(name="version", default="")
 
 
 def decode_configuration(value: bytes) -> Result[SiteConfiguration, str]:
@@ -176,6 +177,7 @@
                 status=STATUSES_BY_NAME[wire.state],
                 slots=wire.slots,
                 is_reclaimable=wire.is_reclaimable,
+                software_version=wire.software_version,
             )
         )
     except (msgspec.DecodeError, KeyError, ValueError) as error:
--- a/src/amaranthhollow/platform/names.py
+++ b/src/amaranthhollow/platform/names.py
@@ -11,6 +11,7 @@
 TOKEN_COUNT = b"x-token-count"
 PROMPT_PREFIX = b"x-prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
+RESUMED_REQUEST = b"resumes"
 
 # Set by this system on requests to endpoints; removed from requests of callers.
 EXPECTED_INSTANCE = b"x-expect-instance"
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -26,9 +26,13 @@
 
 @dataclass
 class RequestLog:
-    """Record of one forwarded request, for its log event."""
+    """Record of one forwarded request, for its log event.
+
+    ``software_versions`` are those of the endpoints that sent events of a stream.
+    """
 
     endpoints: list[str] = field(default_factory=list)
+    software_versions: list[str] = field(default_factory=list)
     cache_sources: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     first_part_at: float | None = None
--- a/src/amaranthhollow/serving/request.py
+++ b/src/amaranthhollow/serving/request.py
@@ -18,6 +18,8 @@
 
     ``deadline`` is the time until which the caller waits, if it states one.
     ``forwarded_headers`` are the headers that are sent to the endpoint unchanged.
+    ``resumed_id`` is the identifier of the request that began the stream of which this
+    one asks for the events after ``last_event_id``.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: str | None = None
+    resumed_id: str | None = None
 
     @property
     def path(self) -> str:
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -340,6 +340,9 @@
         if self.log.first_part_at is None:
             self.log.first_part_at = now()
             self._forwarder.callbacks.notify_response_started(self._admitted)
+        version = endpoint.listed.software_version
+        if version not in self.log.software_versions:
+            self.log.software_versions.append(version)
         if not self._exchange.has_started:
             self._exchange.start(response.head.status, response.forwarded_headers)
         self._exchange.send(events)
--- a/src/amaranthhollow/state/site_state.py
+++ b/src/amaranthhollow/state/site_state.py
@@ -276,6 +276,7 @@
                 "data_centre": listed.data_centre,
                 "incarnation": listed.incarnation,
                 "reclaimable": listed.is_reclaimable,
+                "software": listed.software_version,
             },
         )
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -97,6 +97,7 @@
     assert endpoint.incarnation == 1700000000000
     assert endpoint.status is EndpointStatus.LIVE
     assert endpoint.is_reclaimable
+    assert endpoint.software_version == "v1"
 
 
 def test_decode_endpoint_rejects_an_invalid_or_missing_field():
@@ -107,6 +108,7 @@
         {"slots": "many"},
         {"state": "resting"},
         {"born": "yesterday"},
+        {"version": 1},
         {"backend": None},
     ):
         value = json.dumps({**ENDPOINT, **change}).encode()
