--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -133,6 +133,7 @@
         number: int,
         *,
         store_address: str | None = None,
+        is_first_start: bool = False,
         **bounds: float,
     ) -> str:
         address = f"{self.network}.{number}"
@@ -146,6 +147,7 @@
             "store": f"{store_address or self.store_address}:{STORE_PORT}",
             "cloud": f"{self.store_address}:{STORE_PORT}",
             "peer_ports": {"first": PEER_PORT, "last": PEER_PORT + 15},
+            "is_first_start": is_first_start,
             "bounds": {
                 "key_removal_ms": 3000,
                 "lease_ms": 1500,
