Let streams go on only at the software version that began them

No failure showed; the text did not fit together.

Cause: a resumption chose among all endpoints of the service, within one response and for a caller who took a stream up at another host. What a stream depends on, the version of its first engine, was read from no entry and known to no other host. Ruled out: an engine that starts again under its id with another version (no id with two versions in the record).

Change: the version is sent to four holders before the first event is relayed; a host at which a stream is taken up asks them, then all. Unknown streams go on only if a complete history of the list has one version, else they are refused at once as not run.

--- a/benchmarks/entry_capacity.py
+++ b/benchmarks/entry_capacity.py
@@ -19,10 +19,12 @@
 from amaranthhollow.decisions.prompts import PromptPart, PromptShape
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.site import Quota
+from amaranthhollow.decisions.stream_origins import HolderTable, StreamOrigin
 from amaranthhollow.peers.datagrams import (
     Echo,
     FreshnessReport,
     HostReport,
+    StreamStarted,
     decode_datagram,
     encode_datagram,
 )
@@ -147,6 +149,26 @@
     return 22 * microseconds(lambda: limiter.may_send("e", 1, hosts, next(times)), 2000)
 
 
+def measure_origin() -> tuple[int, float]:
+    """Return the bytes of a stream's origin, and the time to tell all holders.
+
+    Includes the choice of holders among ``HOSTS`` and one decoding for each of them.
+    """
+    data_centres = {f"host-{n}": f"dc-{n % 7}" for n in range(HOSTS)}
+    origin = StreamOrigin("model-service", "v1.2", 1_700_000_000.5)
+    message = StreamStarted("9c41d07be2a35f68", origin)
+    size = len(encode_datagram(message))
+
+    table = HolderTable()
+    numbers = iter(range(10**9))
+
+    def share() -> None:
+        for _ in table.holders(f"9c41d07b{next(numbers):08x}", dict(data_centres)):
+            decode_datagram(encode_datagram(message))
+
+    return size, microseconds(share, 20_000)
+
+
 def main() -> None:
     """Print all results."""
     for count in ENDPOINT_COUNTS:
@@ -158,6 +180,8 @@
         size, seconds = measure_exchange(count)
         print(f"     an echo {size} bytes, {seconds:.0f} us to encode and decode")
     print(f"a quota: {measure_quota():.1f} us a request")
+    size, cost = measure_origin()
+    print(f"a stream's origin: {size} bytes, {cost:.0f} us for all its holders")
     for rate in (1.0, 20.0):
         cost = measure_limit(rate)
         print(f"an endpoint's limit of {rate:g} a second: {cost:.0f} us a second")
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -23,13 +23,19 @@
     Echo,
     FreshnessReport,
     HostReport,
+    OriginQuery,
+    OriginReply,
     Ping,
+    StreamMessage,
+    StreamStarted,
     decode_datagram,
     encode_datagram,
 )
 from amaranthhollow.serving.clock import now
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from amaranthhollow.entry.endpoint_limits import EndpointLimits
     from amaranthhollow.entry.host import Host
     from amaranthhollow.entry.peer_documents import PeerDocuments
@@ -80,6 +86,7 @@
         self._documents = documents
         self._limits = limits
         self._started_at = now()
+        self.receive_stream_message: Callable[[StreamMessage], None] = _ignore
         self._port = host.settings.peer_ports.first
         self._transport: asyncio.DatagramTransport | None = None
         self._nonce = host.random.getrandbits(32)
@@ -102,6 +109,13 @@
             self.ping_round()
             await asyncio.sleep(PING_INTERVAL_SECONDS)
 
+    def send(self, name: str, message: StreamMessage) -> None:
+        """Send a message to a peer; it may be lost."""
+        info = self._host.membership.info(name)
+        if info is not None and self._transport is not None:
+            data = encode_datagram(message)
+            self._transport.sendto(data, (info.address, self._port))
+
     # Callbacks of asyncio.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -121,6 +135,9 @@
             case Echo():
                 self._host.metrics.datagrams.labels("echo").inc()
                 self._handle_echo(message)
+            case StreamStarted() | OriginQuery() | OriginReply():
+                self._host.metrics.datagrams.labels("stream").inc()
+                self.receive_stream_message(message)
             case None:
                 self._host.metrics.datagrams.labels("unreadable").inc()
 
@@ -319,6 +336,10 @@
             self._host.duty = self._host.duty.observe_holder(observed_holder)
 
 
+def _ignore(message: StreamMessage) -> None:
+    """Drop a message that arrives before its receiver is set."""
+
+
 def reachable_timeout_seconds(peer_count: int) -> float:
     """Return for how long after its last datagram a peer counts as reachable.
 
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -16,6 +16,7 @@
     from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.entry.endpoint_limits import EndpointLimits
     from amaranthhollow.entry.host import Host
+    from amaranthhollow.entry.stream_origins import StreamOrigins
     from amaranthhollow.serving.admission import Admission
     from amaranthhollow.serving.exchange import Exchange
     from amaranthhollow.serving.forwarder import Forwarder
@@ -35,8 +36,10 @@
 log = logbook.Logger("requests")
 
 
-def forwarding_callbacks(host: Host, limits: EndpointLimits) -> ForwardingCallbacks:
-    """Return the callbacks that connect the forwarder to ``host`` and ``limits``."""
+def forwarding_callbacks(
+    host: Host, limits: EndpointLimits, origins: StreamOrigins
+) -> ForwardingCallbacks:
+    """Return the callbacks that connect the forwarder to the rest of the host."""
 
     def spend_retry(service: str) -> bool:
         host_count = host.host_counts.total
@@ -65,6 +68,8 @@
         limits.observe_response,
         limits.may_send,
         limits.record_sent,
+        origins.record_started,
+        origins.find_version,
         host.random.random,
     )
 
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -27,6 +27,7 @@
 from amaranthhollow.entry.request_handler import RequestHandler, forwarding_callbacks
 from amaranthhollow.entry.scaling_duty import ScalingDuty
 from amaranthhollow.entry.site_sync import HostRegistration, SiteSync
+from amaranthhollow.entry.stream_origins import StreamOrigins
 from amaranthhollow.entry.usage_duty import UsageDuty
 from amaranthhollow.platform.cloud import CloudClient
 from amaranthhollow.platform.documents import decode_configuration, decode_endpoint
@@ -78,12 +79,15 @@
         self._pool = ConnectionPool()
         codec = EndpointCodec(encode_dispatch, expected_echo, decode_response_head)
         self._limits = limits = EndpointLimits(host)
+        documents = PeerDocuments(host)
+        self._peering = Peering(host, documents, limits)
+        self._origins = StreamOrigins(host, self._peering)
         self._forwarder = Forwarder(
             host.site,
             self._pool,
             host.chooser,
             codec,
-            forwarding_callbacks(host, limits),
+            forwarding_callbacks(host, limits, self._origins),
         )
         self._max_key_age_seconds = (
             settings.bounds.key_removal_ms / 1000 - KEY_AGE_MARGIN_SECONDS
@@ -96,8 +100,6 @@
             host.random.random,
         )
         self._handler = RequestHandler(host, admission, self._forwarder)
-        documents = PeerDocuments(host)
-        self._peering = Peering(host, documents, limits)
         address = settings.address
         self._callers = Listener(
             self._handler.handle,
@@ -167,6 +169,7 @@
             self._pool.retain({address_of(endpoint) for endpoint in listed})
             self._host.chooser.retain({endpoint.host for endpoint in listed})
             self._limits.forget_unlisted()
+            self._origins.update()
             instant = now()
             metrics.configuration_age.set(site.configuration_freshness.age(instant))
             metrics.endpoints_age.set(site.endpoints_freshness.age(instant))
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -6,13 +6,18 @@
 
 from amaranthhollow.decisions.choice import EndpointLoad
 from amaranthhollow.decisions.gossip import GossipMessage
+from amaranthhollow.decisions.stream_origins import StreamOrigin
 
 __all__ = [
     "RELEASED_LEASE_SECONDS",
     "Echo",
     "HostReport",
+    "OriginQuery",
+    "OriginReply",
     "Ping",
     "FreshnessReport",
+    "StreamMessage",
+    "StreamStarted",
     "decode_datagram",
     "encode_datagram",
 ]
@@ -82,14 +87,52 @@
     quota_levels: dict[str, float] | None = None
 
 
-def encode_datagram(message: Ping | Echo) -> bytes:
+class StreamStarted(msgspec.Struct, frozen=True, array_like=True, tag="stream"):
+    """Where the stream that ``request_id`` began has its origin."""
+
+    request_id: str
+    origin: StreamOrigin
+
+
+class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag="origin?"):
+    """Question of ``host`` for the origin of a stream that ``request_id`` began.
+
+    Also for the software versions that ``service`` has had since ``since``, in Unix
+    seconds. The :class:`OriginReply` repeats ``nonce``.
+    """
+
+    nonce: int
+    host: str
+    request_id: str
+    service: str
+    since: float
+
+
+class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag="origin"):
+    """Reply of ``host`` to an :class:`OriginQuery`.
+
+    ``software_version`` is None if it does not know the stream. ``seen_versions`` are
+    those that the service has had, all of them if ``is_complete``.
+    """
+
+    nonce: int
+    host: str
+    software_version: str | None
+    seen_versions: tuple[str, ...]
+    is_complete: bool
+
+
+StreamMessage = StreamStarted | OriginQuery | OriginReply
+
+
+def encode_datagram(message: Ping | Echo | StreamMessage) -> bytes:
     """Encode a message."""
     return msgspec.msgpack.encode(message)
 
 
-def decode_datagram(data: bytes) -> Ping | Echo | None:
+def decode_datagram(data: bytes) -> Ping | Echo | StreamMessage | None:
     """Decode a message; return None if ``data`` is not one."""
     try:
-        return msgspec.msgpack.decode(data, type=Ping | Echo)
+        return msgspec.msgpack.decode(data, type=Ping | Echo | StreamMessage)
     except (msgspec.DecodeError, ValueError):
         return None
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -10,7 +10,7 @@
 from amaranthhollow.serving.request_run import RequestRun
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from amaranthhollow.decisions.choice import EndpointChooser
     from amaranthhollow.decisions.endpoints import Endpoint
@@ -47,8 +47,10 @@
     read for a first event, and the seconds it took. ``notify_response_head`` gets each
     response of an endpoint, and the time at which the request was sent. ``may_send``
     returns whether an endpoint's own limit allows a request now, and
-    ``notify_sending`` gets the endpoint of each attempt. ``random`` returns a number
-    from 0 to 1.
+    ``notify_sending`` gets the endpoint of each attempt. ``notify_stream_started`` gets
+    the software version of the endpoint whose events are about to be relayed, and
+    ``find_stream_version`` returns the one that began the stream which a request takes
+    up again, or None if that cannot be known. ``random`` returns a number from 0 to 1.
     """
 
     spend_retry: Callable[[str], bool]
@@ -58,6 +60,8 @@
     notify_response_head: Callable[[Endpoint, ResponseInfo, float], None]
     may_send: Callable[[Endpoint], bool]
     notify_sending: Callable[[Endpoint], None]
+    notify_stream_started: Callable[[CallerRequest, Admitted, str], None]
+    find_stream_version: Callable[[CallerRequest, Admitted], Awaitable[str | None]]
     random: Callable[[], float]
 
 
@@ -92,13 +96,25 @@
         await RequestRun(self, exchange, request, admitted, prompt, log).forward()
 
     def choose_endpoint(
-        self, admitted: Admitted, prompt: PromptShape | None, tried: list[str]
+        self,
+        admitted: Admitted,
+        prompt: PromptShape | None,
+        tried: list[str],
+        software_version: str | None = None,
     ) -> Endpoint | None:
-        """Choose an endpoint that is not in ``tried``, or None."""
+        """Choose an endpoint that is not in ``tried``, or None.
+
+        With ``software_version``, only endpoints of that version are eligible.
+        """
+
+        def is_eligible(endpoint: Endpoint) -> bool:
+            version = endpoint.listed.software_version
+            if software_version is not None and version != software_version:
+                return False
+            return self._callbacks.may_send(endpoint)
+
         instant = now()
-        usable = self._site.usable_endpoints(
-            admitted.service, instant, self._callbacks.may_send
-        )
+        usable = self._site.usable_endpoints(admitted.service, instant, is_eligible)
         can_fetch = self._site.shares_cache(admitted.service)
         return self._chooser.choose(usable, prompt, tried, instant, can_fetch=can_fetch)
 
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -80,10 +80,14 @@
         self._may_have_run = False
         self._has_retry = False
         self._splitter = EventSplitter(request.last_event_id)
+        self._software_version: str | None = None
         self.log = log
 
     async def forward(self) -> None:
         """Make attempts until the caller has a response."""
+        if self._takes_up_stream and not await self._find_software_version():
+            self._log_failure("unknown which software version began the stream")
+            return self._respond_with_failure()
         while True:
             endpoint = self._next_endpoint()
             if endpoint is None:
@@ -112,11 +116,24 @@
                         return self._respond_with_failure()
                     self._has_retry = False
 
+    @property
+    def _takes_up_stream(self) -> bool:
+        is_stream = self._route.kind is RouteKind.STREAMING
+        return is_stream and self._request.last_event_id is not None
+
+    async def _find_software_version(self) -> bool:
+        """Bind the request to the version that began its stream, if that is known."""
+        callbacks = self._forwarder.callbacks
+        self._software_version = await callbacks.find_stream_version(
+            self._request, self._admitted
+        )
+        return self._software_version is not None
+
     def _next_endpoint(self) -> Endpoint | None:
         if self._deadline - now() < MIN_ATTEMPT_SECONDS:
             return None
         return self._forwarder.choose_endpoint(
-            self._admitted, self._prompt, self._tried_hosts
+            self._admitted, self._prompt, self._tried_hosts, self._software_version
         )
 
     def _reserve_attempt(self) -> bool:
@@ -344,6 +361,10 @@
         if version not in self.log.software_versions:
             self.log.software_versions.append(version)
         if not self._exchange.has_started:
+            self._software_version = version
+            self._forwarder.callbacks.notify_stream_started(
+                self._request, self._admitted, version
+            )
             self._exchange.start(response.head.status, response.forwarded_headers)
         self._exchange.send(events)
         await self._exchange.drain()
--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -246,19 +246,25 @@
         name, _, value = item.partition(":")
         headers[name.lower()] = value.strip()
     status = int(line.split()[1])
+    body = bytearray()
     try:
-        body = await _read_body(reader, headers)
-    except (asyncio.IncompleteReadError, ConnectionError) as error:
-        partial = getattr(error, "partial", b"")
-        return HttpResponse(status, headers, partial, is_complete=False)
-    return HttpResponse(status, headers, body, is_complete=True)
+        await _read_body(reader, headers, body)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return HttpResponse(status, headers, bytes(body), is_complete=False)
+    return HttpResponse(status, headers, bytes(body), is_complete=True)
 
 
-async def _read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
+async def _read_body(
+    reader: asyncio.StreamReader, headers: dict[str, str], body: bytearray
+) -> None:
+    """Read a body into ``body``, which holds what came before a lost connection."""
     if headers.get("transfer-encoding") != "chunked":
-        return await reader.readexactly(int(headers.get("content-length", 0)))
-    body = b""
+        try:
+            body += await reader.readexactly(int(headers.get("content-length", 0)))
+        except asyncio.IncompleteReadError as error:
+            body += error.partial
+            raise
+        return
     while size := int(await reader.readuntil(b"\r\n"), 16):
         body += (await reader.readexactly(size + 2))[:-2]
     await reader.readexactly(2)
-    return body
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,7 +8,12 @@
 from typing import TYPE_CHECKING
 
 from tests.entry.entry_site import API_KEY, CALLER_PORT, read_response
-from tests.soak.endpoint import EVENT_COUNT, expected_body, expected_event
+from tests.soak.endpoint import (
+    EVENT_COUNT,
+    expected_body,
+    expected_event,
+    parse_events,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -100,7 +105,12 @@
         if response.is_complete and response.body != expected_body(sent.request_id):
             yield f"{sent.request_id} got an unexpected body"
     elif response.status == 200:
-        events = [expected_event(sent.request_id, n) for n in range(1, EVENT_COUNT + 1)]
+        versions = [version for _, version in parse_events(response.body)]
+        version = versions[0] if versions else ""
+        events = [
+            expected_event(sent.request_id, number, version)
+            for number in range(1, EVENT_COUNT + 1)
+        ]
         expected = b"".join(events)
         if not expected.startswith(response.body):
             yield f"{sent.request_id} got unexpected events"
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from random import Random
 
@@ -13,7 +14,13 @@
     stream_response,
 )
 
-__all__ = ["EVENT_COUNT", "SoakEndpoint", "expected_body", "expected_event"]
+__all__ = [
+    "EVENT_COUNT",
+    "SoakEndpoint",
+    "expected_body",
+    "expected_event",
+    "parse_events",
+]
 
 EVENT_COUNT = 20
 EVENT_SECONDS = 0.03
@@ -28,9 +35,15 @@
     return f"body of {request_id}".encode() * 20
 
 
-def expected_event(request_id: str, number: int) -> bytes:
+def expected_event(request_id: str, number: int, version: str) -> bytes:
     """Return one event of the stream that belongs to a request."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+    return f"id: {number}\ndata: {request_id} {version} {number}\n\n".encode()
+
+
+def parse_events(data: bytes) -> list[tuple[int, str]]:
+    """Return the number and software version of each complete event."""
+    pattern = rb"id: (\d+)\ndata: \S+ (\S+) \d+\n\n"
+    return [(int(n), version.decode()) for n, version in re.findall(pattern, data)]
 
 
 @dataclass
@@ -40,6 +53,7 @@
     random: Random = field(default_factory=Random)
     executed: list[Arrival] = field(default_factory=list)
     fault_share: float = 0.05
+    version: str = "v1"
 
     def _script_for(self, arrival: Arrival) -> list[Step]:
         draw = self.random.random() / self.fault_share
@@ -57,9 +71,11 @@
         request_id = arrival.request_id
         path = arrival.request_line.split()[1]
         if path.startswith(("/stream/", "/draft/")):
+            stream = path.rpartition("/")[2]
             first = int(arrival.headers.get("last-event-id", 0)) + 1
             steps: list[Step] = []
             for number in range(first, EVENT_COUNT + 1):
-                steps += [expected_event(request_id, number), EVENT_SECONDS]
+                event = expected_event(stream, number, self.version)
+                steps += [event, EVENT_SECONDS]
             return stream_response(*steps)
         return [RUN_SECONDS, *plain_response(expected_body(request_id))]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,11 @@
 from tests.soak.callers import Caller, SentRequest, find_violations
 from tests.soak.endpoint import SoakEndpoint
 from tests.soak.proxy import LinkState, Proxy
+from tests.soak.stream_callers import (
+    StreamCaller,
+    find_lost_share,
+    find_mixed_streams,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -36,6 +41,10 @@
 # The least share of requests to be served after the last fault.
 MIN_SERVED_SHARE = 0.25
 LIMIT_DELAY_SECONDS = 1.0
+STREAM_CALLERS = 6
+VERSIONS_BY_ENDPOINT = {31: "v1", 32: "v1", 33: "v2"}
+DRAIN_SECONDS = 2.2
+STABLE_SECONDS = 3.0
 LIMITED_RATES = (0.5, 1.0, 3.0)
 STORE_FAULTS = ("down", "refuse_connections", "is_silent")
 
@@ -63,6 +72,8 @@
         self.random = Random(seed)
         self.restore_random = Random(f"restores-{seed}")
         self.limit_random = Random(f"limits-{seed}")
+        self.stream_random = Random(f"streams-{seed}")
+        self.stream_callers: list[StreamCaller] = []
         self.limited: SoakEndpoint | None = None
         self.limit_record = LimitRecord(0.0, float("inf"))
         self.plays_restores = plays_restores
@@ -80,6 +91,7 @@
     async def start(self) -> None:
         for number in ENDPOINT_NUMBERS:
             endpoint = SoakEndpoint(f"e{number}", random=Random(self.random.random()))
+            endpoint.version = VERSIONS_BY_ENDPOINT[number]
             self.site.endpoints[f"e{number}"] = endpoint
             address = f"{self.site.network}.{number}"
             await endpoint.start(address, ENDPOINT_PORT)
@@ -88,7 +100,11 @@
             self.proxies.append(proxy)
             proxy_address = f"{self.site.network}.{number + 100}"
             self.site.put_endpoint_entry(
-                f"e{number}", proxy_address, "plain-app", slots=50
+                f"e{number}",
+                proxy_address,
+                "plain-app",
+                slots=50,
+                version=endpoint.version,
             )
         for number in HOST_NUMBERS:
             self.start_daemon(number)
@@ -108,9 +124,16 @@
                 address = f"{self.site.network}.{number}"
                 caller = Caller(f"c{number}-{index}", address, random)
                 self.callers.append(caller)
+        addresses = {f"{n}": f"{self.site.network}.{n}" for n in HOST_NUMBERS}
+        for index in range(STREAM_CALLERS):
+            random = Random(self.stream_random.random())
+            caller = StreamCaller(f"s{index}", addresses, random)
+            self.stream_callers.append(caller)
         caller_tasks = [
-            asyncio.create_task(caller.run(stopped)) for caller in self.callers
+            asyncio.create_task(caller.run(stopped))
+            for caller in (*self.callers, *self.stream_callers)
         ]
+        release = asyncio.create_task(self.release_one_endpoint())
         limit = asyncio.create_task(self.limit_one_endpoint())
         restores = None
         if self.plays_restores:
@@ -121,7 +144,7 @@
         )
         if restores is not None:
             restores.cancel()
-        await limit
+        await asyncio.gather(limit, release)
         await self.clear_faults()
         counts_before = [len(caller.sent_requests) for caller in self.callers]
         await asyncio.sleep(RECOVERY_SECONDS)
@@ -141,6 +164,34 @@
         self.limited.rate_limit = rate
         self.limit_record = LimitRecord(rate, time.monotonic())
 
+    async def release_one_endpoint(self) -> None:
+        """Replace an endpoint by one of another software version at its address."""
+        await asyncio.sleep(self.stream_random.uniform(1.0, 5.0))
+        endpoint_id, proxy = f"e{ENDPOINT_NUMBERS[0]}", self.proxies[0]
+        address = f"{self.site.network}.{ENDPOINT_NUMBERS[0] + 100}"
+        entry = {"slots": 50, "version": "v1", "state": "draining"}
+        self.site.put_endpoint_entry(endpoint_id, address, "plain-app", **entry)
+        await asyncio.sleep(DRAIN_SECONDS)
+        started_at = time.monotonic()
+        proxy.set_link_state(LinkState.RESETTING)
+        self.site.endpoints[endpoint_id].version = "v2"
+        proxy.set_link_state(LinkState.HEALTHY)
+        entry = {"slots": 50, "version": "v2", "born": 2}
+        self.site.put_endpoint_entry(endpoint_id, address, "plain-app", **entry)
+        self.excuse(HOST_NUMBERS, started_at)
+
+    def stream_violations(self) -> list[str]:
+        """Return streams of two versions, and whether too few go on."""
+        tries = [found for caller in self.stream_callers for found in caller.tries]
+
+        def is_in_touch(host: str, at: float) -> bool:
+            return not any(
+                number == host and start <= at < end + STABLE_SECONDS
+                for number, start, end in self.excuses
+            )
+
+        return find_mixed_streams(tries) + find_lost_share(tries, is_in_touch)
+
     def excuse(self, numbers: Iterable[int], since: float) -> None:
         """Exclude hosts that have been disturbed from a time until now."""
         self.excuses += [(f"{number}", since, time.monotonic()) for number in numbers]
@@ -152,8 +203,15 @@
             for sent in caller.sent_requests:
                 if sent.response and "server-limit" in sent.response.headers:
                     record.record_told(_host_of(sent.request_id), sent.responded_at)
+        host_by_request = {
+            found.request_id: found.host
+            for caller in self.stream_callers
+            for found in caller.tries
+        }
         for arrival in self.limited.arrivals:
-            record.record_arrival(_host_of(arrival.request_id), arrival.at)
+            request_id = arrival.request_id
+            host = host_by_request.get(request_id) or _host_of(request_id)
+            record.record_arrival(host, arrival.at)
         for host, start, end in self.excuses:
             record.excuse(host, start, end)
         largest = record.largest_window()
@@ -271,6 +329,9 @@
         all_sent = [
             request for caller in self.callers for request in caller.sent_requests
         ]
+        streams = {
+            found.stream for caller in self.stream_callers for found in caller.tries
+        }
         found = [
             text
             for request in all_sent
@@ -280,7 +341,7 @@
         found += [
             f"{run_id} ran but was sent by no caller"
             for run_id in runs
-            if run_id not in sent_ids
+            if run_id not in sent_ids and run_id.rpartition("-")[0] not in streams
         ]
         found += [
             f"a shutdown ended with exit code {code}"
@@ -320,6 +381,7 @@
     assert soak.violations() == []
     assert soak.duty_violations() == []
     assert soak.limit_violations() == []
+    assert soak.stream_violations() == []
     assert len(soak.recovery_requests) >= len(soak.callers)
 
 
@@ -332,4 +394,5 @@
     assert soak.violations() == []
     assert soak.duty_violations() == []
     assert soak.limit_violations() == []
+    assert soak.stream_violations() == []
     assert len(soak.recovery_requests) >= len(soak.callers)
