Let streams be taken up after the loss of all hosts

Callers whose streams were cut when all hosts lost power took them up some 6 s later, at hosts that had been up for as long, and were refused: with the origins in memory only, no host knew where they had begun, nor that there had been one version only.

--- a/src/amaranthhollow/decisions/stream_origins.py
+++ b/src/amaranthhollow/decisions/stream_origins.py
@@ -24,6 +24,7 @@
     "OriginTable",
     "SeenVersions",
     "StreamOrigin",
+    "StreamRecord",
     "VersionHistory",
     "resumable_version",
     "stream_lifetime",
@@ -41,6 +42,9 @@
 LIST_DELAY_SECONDS = 2.0
 # A list that was not confirmed for longer may have had other versions in between.
 MAX_CONFIRMATION_GAP_SECONDS = 5.0
+# While all hosts are down, no stream begins. If another host was up, it knows what a
+# host that restarts has missed.
+MAX_RESTART_GAP_SECONDS = 15.0
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
@@ -51,6 +55,20 @@
     expires_at: float
 
 
+class StreamRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What hosts need to take streams up after all of them have restarted.
+
+    ``versions_by_service`` are the versions seen at ``written_at``, all since
+    ``complete_since``; both in Unix seconds. ``origins`` are those of some streams, by
+    the request that began each.
+    """
+
+    written_at: float
+    complete_since: float
+    versions_by_service: dict[str, tuple[str, ...]]
+    origins: dict[str, StreamOrigin]
+
+
 @dataclass(frozen=True)
 class SeenVersions:
     """The versions of a service that one host has seen since a time.
@@ -87,6 +105,14 @@
             return None
         return origin.software_version
 
+    def origins(self, service: str) -> dict[str, StreamOrigin]:
+        """Return the origins of a service's streams, by request."""
+        return {
+            request_id: origin
+            for request_id, origin in self._origins_by_request.items()
+            if origin.service == service
+        }
+
     def expire(self, now: float) -> None:
         """Drop the origins of streams that have ended by ``now``."""
         for request_id, origin in list(self._origins_by_request.items()):
@@ -109,6 +135,39 @@
         self._last_seen_at: dict[tuple[str, str], float] = {}
         self._complete_since = float("-inf") if is_first_start else float("inf")
         self._confirmed_at: float | None = None
+        self._first_confirmed_at: float | None = None
+        self._adopted_until = float("-inf")
+        self._adopted_since = float("inf")
+
+    @property
+    def complete_since(self) -> float:
+        """The time since which every version was seen; infinity if never."""
+        return self._complete_since
+
+    def adopt(
+        self,
+        versions_by_service: Mapping[str, Iterable[str]],
+        as_of: float,
+        complete_since: float,
+    ) -> None:
+        """Take over, after a restart, what was seen until ``as_of``.
+
+        The history stays complete if the gap to the first own list is short.
+        """
+        for service, versions in versions_by_service.items():
+            for version in versions:
+                key = (service, version)
+                self._last_seen_at[key] = max(as_of, self._last_seen_at.get(key, as_of))
+        self._adopted_until, self._adopted_since = as_of, complete_since
+        self._extend_to_adopted()
+
+    def _extend_to_adopted(self) -> None:
+        """Let the history begin with what was adopted, if no list was missed."""
+        first = self._first_confirmed_at
+        if first is None or self._complete_since != first:
+            return
+        if first - self._adopted_until <= MAX_RESTART_GAP_SECONDS:
+            self._complete_since = min(first, self._adopted_since)
 
     def observe(
         self, versions_by_service: Mapping[str, Iterable[str]], confirmed_at: float
@@ -116,7 +175,8 @@
         """Record the versions of a list that was confirmed at ``confirmed_at``."""
         previous = self._confirmed_at
         if self._complete_since == float("inf"):
-            self._complete_since = confirmed_at
+            self._complete_since = self._first_confirmed_at = confirmed_at
+            self._extend_to_adopted()
         elif previous is not None:
             gap = confirmed_at - previous
             if gap > MAX_CONFIRMATION_GAP_SECONDS:
@@ -126,6 +186,14 @@
             for version in versions:
                 self._last_seen_at[(service, version)] = self._confirmed_at
 
+    def versions_since(self, since: float) -> dict[str, tuple[str, ...]]:
+        """Return the versions of each service that were seen since a time."""
+        found: dict[str, tuple[str, ...]] = {}
+        for (service, version), at in self._last_seen_at.items():
+            if at >= since:
+                found[service] = (*found.get(service, ()), version)
+        return found
+
     def seen(self, service: str, since: float, now: float) -> SeenVersions:
         """Return the versions that a service has had since a time."""
         since -= LIST_DELAY_SECONDS
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -133,6 +133,7 @@
             UsageDuty(host, cloud).run(),
             ScalingDuty(host, cloud).run(),
             host.crash_detector.run(),
+            self._origins.run(),
             self._run_maintenance(),
         ]
         tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
--- a/src/amaranthhollow/entry/stream_origins.py
+++ b/src/amaranthhollow/entry/stream_origins.py
@@ -17,6 +17,7 @@
     resumable_version,
     stream_lifetime,
 )
+from amaranthhollow.entry.stream_log import StreamLog
 from amaranthhollow.peers.datagrams import OriginQuery, OriginReply, StreamStarted
 from amaranthhollow.serving.clock import now
 
@@ -63,8 +64,13 @@
         self._history = VersionHistory(is_first_start=host.settings.is_first_start)
         self._nonce = host.random.getrandbits(32)
         self._lookups_by_nonce: dict[int, _Lookup] = {}
+        self._log = StreamLog(host, self._table, self._history)
         peering.receive_stream_message = self._receive
 
+    async def run(self) -> None:
+        """Store origins and versions while this host is the one to do so."""
+        await self._log.run()
+
     def record_started(
         self, request: CallerRequest, admitted: Admitted, software_version: str
     ) -> None:
@@ -72,9 +78,11 @@
         is_resumed = request.last_event_id is not None and request.resumed_id
         request_id = request.resumed_id if is_resumed else request.request_id
         origin = self._record(request_id, admitted, software_version)
+        self._log.add(request_id, origin)
         message = StreamStarted(request_id, origin)
         data_centres_by_peer = self._data_centres_by_peer()
-        for peer in self._holder_table.holders(request_id, data_centres_by_peer):
+        chosen = self._holder_table.holders(request_id, data_centres_by_peer)
+        for peer in {*chosen, *self._log.writers()}:
             self._peering.send(peer, message)
 
     async def find_version(
@@ -97,7 +105,11 @@
                 self._record(request_id, admitted, lookup.version)
                 return lookup.version
             seen += lookup.seen
-        version = resumable_version(seen)
+        await self._log.read()
+        version = self._table.find(request_id, service)
+        if version is not None:
+            return version
+        version = resumable_version([*seen, self._seen(service, since)])
         log.info(
             "origin of a stream unknown",
             extra={
@@ -174,6 +186,7 @@
         match message:
             case StreamStarted(request_id, origin):
                 self._table.record(request_id, origin)
+                self._log.add(request_id, origin)
             case OriginQuery(nonce, host, request_id, service, since):
                 seen = self._seen(service, since)
                 version = self._table.find(request_id, service)
--- a/tests/decisions/test_stream_origins.py
+++ b/tests/decisions/test_stream_origins.py
@@ -116,3 +116,29 @@
     assert resumable_version([seen("v1", is_complete=False)]) is None
     assert resumable_version([seen("v1", "v2")]) is None
     assert resumable_version([]) is None
+
+
+# After a loss of all hosts, none knew which versions there had been before.
+@pytest.mark.parametrize("is_adopted_first", [True, False])
+@pytest.mark.parametrize(("gap", "is_complete"), [(4.0, True), (16.0, False)])
+def test_adopted_history_is_complete_unless_lists_were_missed(
+    is_adopted_first, gap, is_complete
+):
+    history = VersionHistory(is_first_start=False)
+    if not is_adopted_first:
+        history.observe({"model": {"v1"}}, 100.0 + gap)
+    history.adopt({"model": ("v1", "v2")}, 100.0, complete_since=10.0)
+    history.observe({"model": {"v1"}}, 100.0 + gap)
+    now = 100.5 + gap
+
+    found = history.seen("model", now - LIFETIME, now)
+    assert found == seen("v1", "v2", is_complete=is_complete)
+
+
+def test_adopted_history_does_not_fill_a_later_gap():
+    history = VersionHistory(is_first_start=False)
+    history.observe({"model": {"v1"}}, 100.0)
+    history.observe({"model": {"v1"}}, 110.0)
+    history.adopt({"model": ("v1",)}, 99.0, complete_since=10.0)
+
+    assert not history.seen("model", 80.0, 110.0).is_complete
--- a/tests/entry/test_stream_origins.py
+++ b/tests/entry/test_stream_origins.py
@@ -11,6 +11,7 @@
 from types import SimpleNamespace
 
 import pytest
+from result import Ok
 
 from amaranthhollow.decisions.endpoints import (
     Endpoint,
@@ -19,7 +20,9 @@
     endpoint_fact,
 )
 from amaranthhollow.decisions.freshness import Freshness
+from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.entry.stream_origins import StreamOrigins
+from amaranthhollow.platform.store import Snapshot
 from amaranthhollow.serving.clock import now
 
 VERSIONS = ("v1", "v2")
@@ -63,6 +66,8 @@
                 endpoints_freshness=Freshness(now()),
             ),
             wall_time=time.time,
+            reachable_hosts=tuple(n for n in names if n != name),
+            store=SimpleNamespace(list=_list_nothing),
         )
         peering = SimpleNamespace(send=None, receive_stream_message=None)
         peering.send = lambda peer, message: self.send(name, peer, message)
@@ -96,6 +101,10 @@
         return await self.origins_by_host[host].find_version(request, ADMITTED)
 
 
+async def _list_nothing(prefix, timeout_seconds):
+    return Ok(Snapshot((), StorePosition(0, 1)))
+
+
 def endpoints_of(versions):
     table = EndpointTable()
     for number, version in enumerate(versions):
--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -234,3 +234,68 @@
     for part, rest in zip(parts.values(), rests, strict=True):
         assert len(part.versions | rest.versions) == 1
     assert sum(rest.status == 200 for rest in rests) >= len(lost) / 2
+
+
+async def restart_all(site, count):
+    """Kill all hosts at once, and start them again."""
+    for number in range(count):
+        site.processes[f"host-{number}"].kill()
+    for number in range(count):
+        await asyncio.to_thread(site.processes[f"host-{number}"].wait)
+    addresses = [site.start_daemon(f"host-{n}", 21 + n) for n in range(count)]
+    for address in addresses:
+        await site.wait_ready(address)
+    await asyncio.sleep(1.5)
+    return addresses
+
+
+# All hosts lost power, and no stream that a client took up afterwards went on.
+async def test_most_streams_go_on_after_the_loss_of_all_hosts(site):
+    await add_two_versions(site, event_seconds=0.3)
+    addresses = await start_hosts(site, 4, is_first_start=True)
+    begun = [
+        asyncio.create_task(request_stream(addresses[n % 4], f"first-{n}"))
+        for n in range(STREAMS)
+    ]
+    await asyncio.sleep(1.2)
+    addresses = await restart_all(site, 4)
+    parts = await asyncio.gather(*begun)
+    rests = await asyncio.gather(
+        *(
+            resume_stream(
+                addresses[n % 4], f"next-{n}", part.event_ids[-1], f"first-{n}"
+            )
+            for n, part in enumerate(parts)
+        )
+    )
+
+    pairs = list(zip(parts, rests, strict=True))
+    assert {len(part.versions | rest.versions) for part, rest in pairs} == {1}
+    assert sum(rest.status == 200 for rest in rests) >= STREAMS / 2
+
+
+# After a restart of all hosts none knew that there had been one version only.
+async def test_stream_of_unknown_origin_goes_on_after_the_loss_of_all_hosts(site):
+    await add_endpoint(site, "e1", 11, "v1")
+    await start_hosts(site, 3, is_first_start=True)
+    await asyncio.sleep(2.5)
+    addresses = await restart_all(site, 3)
+    parts = [
+        await resume_stream(address, f"next-{n}", 2, None)
+        for n, address in enumerate(addresses)
+    ]
+
+    assert {part.status for part in parts} == {200}
+
+
+# A version that left while all hosts were down was forgotten with them.
+async def test_version_before_the_loss_of_all_hosts_is_not_forgotten(site):
+    await add_endpoint(site, "e1", 11, "v1")
+    await start_hosts(site, 3, is_first_start=True)
+    await asyncio.sleep(2.5)
+    await add_endpoint(site, "e2", 12, "v2")
+    site.store.delete("servers/e1")
+    addresses = await restart_all(site, 3)
+    part = await resume_stream(addresses[0], "next", 2, "unknown")
+
+    assert part.status == 503
