--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -362,9 +362,10 @@
             self.log.software_versions.append(version)
         if not self._exchange.has_started:
             self._software_version = version
-            self._forwarder.callbacks.notify_stream_started(
-                self._request, self._admitted, version
-            )
+            if self._route.may_resume:
+                self._forwarder.callbacks.notify_stream_started(
+                    self._request, self._admitted, version
+                )
             self._exchange.start(response.head.status, response.forwarded_headers)
         self._exchange.send(events)
         await self._exchange.drain()
