--- a/src/amaranthhollow/decisions/endpoint_limits.py
+++ b/src/amaranthhollow/decisions/endpoint_limits.py
@@ -4,7 +4,7 @@
 the hosts agree on belongs to one of them, by rendezvous hash. The owner may send one
 request in the slot or shortly after it. Hosts that differ on which of them exist agree
 on all slots but those of the host in question, and a host that is cut off keeps to its
-own, so the hosts exceed the limit neither in a partition nor after a restart.
+own slots for as long as it remembers the others.
 """
 
 from __future__ import annotations
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -61,16 +61,16 @@
         host.crash_detector.record_connection_loss(request, endpoint)
 
     return ForwardingCallbacks(
-        spend_retry,
-        notify_response_started,
-        notify_prompt_read,
-        notify_connection_lost,
-        limits.observe_response,
-        limits.may_send,
-        limits.record_sent,
-        origins.record_started,
-        origins.find_version,
-        host.random.random,
+        spend_retry=spend_retry,
+        notify_response_started=notify_response_started,
+        notify_prompt_read=notify_prompt_read,
+        notify_connection_lost=notify_connection_lost,
+        notify_response_head=limits.observe_response,
+        may_send=limits.may_send,
+        notify_sending=limits.record_sent,
+        notify_stream_started=origins.record_started,
+        find_stream_version=origins.find_version,
+        random=host.random.random,
     )
 
 
