Guess no version of a stream at a host that has just been cut off

Callers could get a stream of two versions from a host that had lost its peers and the store less than 2 s before: its list still counted as current, and it did not know of a version released since. A host that has peers and reaches none refuses streams of unknown origin as not run.

--- a/src/amaranthhollow/decisions/stream_origins.py
+++ b/src/amaranthhollow/decisions/stream_origins.py
@@ -253,12 +253,15 @@
     return tuple([*spread, *others][:HOLDER_COUNT])
 
 
-def resumable_version(seen: Iterable[SeenVersions]) -> str | None:
+def resumable_version(seen: Iterable[SeenVersions], *, is_cut_off: bool) -> str | None:
     """Return the only version that may have begun a stream of unknown origin.
 
     ``seen`` is what this host and others have seen since the stream may have begun.
-    None if there were several, or if no host would have seen all.
+    None if there were several, if no host would have seen all, or if this host has
+    peers and reaches none: it does not know yet what it misses.
     """
+    if is_cut_off:
+        return None
     known = list(seen)
     versions = frozenset().union(*(found.versions for found in known))
     is_complete = any(found.is_complete for found in known)
--- a/src/amaranthhollow/entry/stream_origins.py
+++ b/src/amaranthhollow/entry/stream_origins.py
@@ -109,7 +109,9 @@
         version = self._table.find(request_id, service)
         if version is not None:
             return version
-        version = resumable_version([*seen, self._seen(service, since)])
+        is_cut_off = bool(data_centres_by_peer) and len(seen) == 1
+        seen.append(self._seen(service, since))
+        version = resumable_version(seen, is_cut_off=is_cut_off)
         log.info(
             "origin of a stream unknown",
             extra={
@@ -117,7 +119,7 @@
                 "resumes": request.resumed_id,
                 "seen": sorted({v for found in seen for v in found.versions}),
                 "complete": sum(found.is_complete for found in seen),
-                "replies": len(seen) - 1,
+                "replies": len(seen) - 2,
             },
         )
         return version
--- a/tests/decisions/test_stream_origins.py
+++ b/tests/decisions/test_stream_origins.py
@@ -25,6 +25,10 @@
     return SeenVersions(frozenset(versions), is_complete)
 
 
+def only_version(*found, is_cut_off=False):
+    return resumable_version(found, is_cut_off=is_cut_off)
+
+
 def history_of(*observations, is_first_start=True):
     history = VersionHistory(is_first_start=is_first_start)
     for at, versions in observations:
@@ -75,7 +79,7 @@
     history = history_of(*steady(10.0, 100.0, {"v1"}))
 
     assert history.seen("model", 100.0 - LIFETIME, 100.5) == seen("v1")
-    assert resumable_version([history.seen("model", 70.0, 100.5)]) == "v1"
+    assert only_version(history.seen("model", 70.0, 100.5)) == "v1"
 
 
 # A version that left a moment ago was forgotten, and its streams went on at the next.
@@ -110,12 +114,17 @@
 
 
 def test_only_version_needs_one_complete_history_and_no_other_version():
-    assert resumable_version([seen("v1")]) == "v1"
-    assert resumable_version([seen("v1"), seen("v1", is_complete=False)]) == "v1"
-    assert resumable_version([seen("v1"), seen("v2", is_complete=False)]) is None
-    assert resumable_version([seen("v1", is_complete=False)]) is None
-    assert resumable_version([seen("v1", "v2")]) is None
-    assert resumable_version([]) is None
+    assert only_version(seen("v1")) == "v1"
+    assert only_version(seen("v1"), seen("v1", is_complete=False)) == "v1"
+    assert only_version(seen("v1"), seen("v2", is_complete=False)) is None
+    assert only_version(seen("v1", is_complete=False)) is None
+    assert only_version(seen("v1", "v2")) is None
+    assert only_version() is None
+
+
+# A host that had just been cut off did not know of a version released since.
+def test_host_that_reaches_no_peer_takes_no_version_for_the_only_one():
+    assert only_version(seen("v1"), is_cut_off=True) is None
 
 
 # After a loss of all hosts, none knew which versions there had been before.
