Share origins of streams only while a service has several versions

Now nothing is sent then; a second version makes every host send the origins of its running streams.

--- a/src/amaranthhollow/decisions/stream_origins.py
+++ b/src/amaranthhollow/decisions/stream_origins.py
@@ -20,6 +20,7 @@
     from collections.abc import Iterable, Mapping
 
 __all__ = [
+    "MIN_STREAM_SECONDS",
     "HolderTable",
     "OriginTable",
     "SeenVersions",
--- a/src/amaranthhollow/entry/stream_log.py
+++ b/src/amaranthhollow/entry/stream_log.py
@@ -55,7 +55,7 @@
         self._history = history
         self._pending: dict[str, StreamOrigin] = {}
         self._next_write_at = 0.0
-        self._mixed_services: set[str] = set()
+        self._has_pending = asyncio.Event()
         self._read_at = float("-inf")
         self._reading: asyncio.Task[None] | None = None
         self._has_read = host.settings.is_first_start
@@ -66,10 +66,11 @@
         return () if writer == self._host.name else (writer,)
 
     def add(self, request_id: str, origin: StreamOrigin) -> None:
-        """Store an origin soon, if this host writes and the service needs it."""
-        if self.writers() or not self._needs_origins(origin):
+        """Store an origin soon, if this host is the one to do so."""
+        if self.writers():
             return
         self._pending[request_id] = origin
+        self._has_pending.set()
         if len(self._pending) > MAX_PENDING_ORIGINS:
             del self._pending[next(iter(self._pending))]
 
@@ -77,14 +78,22 @@
         """Write records until cancelled, while this host is the one to do so."""
         while True:
             await asyncio.sleep(WRITE_INTERVAL_SECONDS)
-            self._add_streams_of_mixed_services()
-            is_due = self._pending or now() >= self._next_write_at
-            if is_due and not self.writers():
-                if not self._has_read:
-                    await self.read()
-                # A record of a host that has just started would hide the last one.
-                if self._has_read and self._history.complete_since != inf:
-                    await self._write()
+            await self._wait_until_due()
+            if self.writers():
+                continue
+            if not self._has_read:
+                await self.read()
+            # A record of a host that has just started would hide the last one.
+            if self._has_read and self._history.complete_since != inf:
+                await self._write()
+
+    async def _wait_until_due(self) -> None:
+        """Wait for origins to store, or for the interval of idle writes."""
+        try:
+            async with asyncio.timeout(max(0.0, self._next_write_at - now())):
+                await self._has_pending.wait()
+        except TimeoutError:
+            self._next_write_at = now() + IDLE_WRITE_INTERVAL_SECONDS
 
     async def read(self) -> None:
         """Read all records, unless that was done a moment ago."""
@@ -127,11 +136,12 @@
         self._next_write_at = now() + IDLE_WRITE_INTERVAL_SECONDS
         wall_time = self._host.wall_time()
         pending, self._pending = self._pending, {}
+        self._has_pending.clear()
         offset = wall_time - now()
         record = StreamRecord(
             wall_time,
             max(0.0, self._history.complete_since + offset),
-            self._recent_versions(),
+            self._history.versions_since(now() - MIN_STREAM_SECONDS),
             pending,
         )
         number = int(wall_time / WRITE_INTERVAL_SECONDS) % RECORD_COUNT
@@ -140,21 +150,7 @@
         stored = await self._host.store.change({}, (write,), CALL_TIMEOUT_SECONDS)
         if isinstance(stored, Err):
             self._pending = {**pending, **self._pending}
-
-    def _needs_origins(self, origin: StreamOrigin) -> bool:
-        versions = self._recent_versions().get(origin.service, ())
-        return len({*versions, origin.software_version}) > 1
-
-    def _recent_versions(self) -> dict[str, tuple[str, ...]]:
-        return self._history.versions_since(now() - MIN_STREAM_SECONDS)
-
-    def _add_streams_of_mixed_services(self) -> None:
-        """Store the streams that began before a second version was seen."""
-        versions_by_service = self._recent_versions()
-        mixed = {s for s, versions in versions_by_service.items() if len(versions) > 1}
-        for service in mixed - self._mixed_services:
-            self._pending |= self._table.origins(service)
-        self._mixed_services = mixed
+            self._has_pending.set()
 
 
 def _decode_record(value: bytes) -> StreamRecord | None:
--- a/src/amaranthhollow/entry/stream_origins.py
+++ b/src/amaranthhollow/entry/stream_origins.py
@@ -9,6 +9,7 @@
 import logbook
 
 from amaranthhollow.decisions.stream_origins import (
+    MIN_STREAM_SECONDS,
     HolderTable,
     OriginTable,
     SeenVersions,
@@ -64,6 +65,7 @@
         self._history = VersionHistory(is_first_start=host.settings.is_first_start)
         self._nonce = host.random.getrandbits(32)
         self._lookups_by_nonce: dict[int, _Lookup] = {}
+        self._mixed_services: set[str] = set()
         self._log = StreamLog(host, self._table, self._history)
         peering.receive_stream_message = self._receive
 
@@ -78,12 +80,9 @@
         is_resumed = request.last_event_id is not None and request.resumed_id
         request_id = request.resumed_id if is_resumed else request.request_id
         origin = self._record(request_id, admitted, software_version)
-        self._log.add(request_id, origin)
-        message = StreamStarted(request_id, origin)
-        data_centres_by_peer = self._data_centres_by_peer()
-        chosen = self._holder_table.holders(request_id, data_centres_by_peer)
-        for peer in {*chosen, *self._log.writers()}:
-            self._peering.send(peer, message)
+        versions = self._history.versions_since(now() - MIN_STREAM_SECONDS)
+        if len({*versions.get(admitted.service, ()), software_version}) > 1:
+            self._share(request_id, origin)
 
     async def find_version(
         self, request: CallerRequest, admitted: Admitted
@@ -125,9 +124,28 @@
         return version
 
     def update(self) -> None:
-        """Record the versions of the listed endpoints, and drop expired origins."""
+        """Record the versions of the listed endpoints, and drop expired origins.
+
+        The origins of a service are shared once it has a second version. Before that,
+        the only version tells where any of its streams began.
+        """
         self._observe_versions()
         self._table.expire(self._host.wall_time())
+        versions_by_service = self._history.versions_since(now() - MIN_STREAM_SECONDS)
+        mixed = {s for s, versions in versions_by_service.items() if len(versions) > 1}
+        for service in mixed - self._mixed_services:
+            for request_id, origin in self._table.origins(service).items():
+                self._share(request_id, origin)
+        self._mixed_services = mixed
+
+    def _share(self, request_id: str, origin: StreamOrigin) -> None:
+        """Send an origin to its holders, and to the host that stores it."""
+        self._log.add(request_id, origin)
+        message = StreamStarted(request_id, origin)
+        data_centres_by_peer = self._data_centres_by_peer()
+        chosen = self._holder_table.holders(request_id, data_centres_by_peer)
+        for peer in {*chosen, *self._log.writers()}:
+            self._peering.send(peer, message)
 
     def _record(
         self, request_id: str, admitted: Admitted, software_version: str
--- a/tests/entry/test_stream_origins.py
+++ b/tests/entry/test_stream_origins.py
@@ -72,6 +72,7 @@
         peering = SimpleNamespace(send=None, receive_stream_message=None)
         peering.send = lambda peer, message: self.send(name, peer, message)
         self.origins_by_host[name] = StreamOrigins(host, peering)
+        self.origins_by_host[name].update()
         self.receivers[name] = peering
 
     receivers: dict[str, SimpleNamespace] = field(default_factory=dict)
