--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -174,6 +174,7 @@
                 "after_event": request.last_event_id,
                 "cache_sources": request_log.cache_sources,
                 "failures": request_log.failures,
+                "prompt": _shared_parts(request) if request_log.failures else [],
                 "first_part": first_part and round(first_part, 3),
                 "seconds": round(seconds, 3),
                 "tokens": request.prompt_tokens + request.output_tokens,
@@ -196,6 +197,10 @@
             metrics.first_part_seconds.labels(route).observe(first_part)
 
 
+def _shared_parts(request: CallerRequest) -> list[str]:
+    return [part.part_id for part in request.prompt[:-1]]
+
+
 def _outcome(exchange: Exchange) -> str:
     """Return how a response ended, for logs and metrics."""
     if exchange.is_abandoned:
