--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -76,14 +76,18 @@
         return [a for e in self.endpoints.values() for a in e.arrivals]
 
     async def add_endpoint(
-        self, endpoint_id: str, number: int, service: str = "plain-app"
+        self,
+        endpoint_id: str,
+        number: int,
+        service: str = "plain-app",
+        endpoint: ScriptedEndpoint | None = None,
     ) -> ScriptedEndpoint:
-        endpoint = ScriptedEndpoint(endpoint_id)
+        endpoint = endpoint or ScriptedEndpoint(endpoint_id)
         address = f"{self.network}.{number}"
         server = await endpoint.start(address, ENDPOINT_PORT)
 
         async def close() -> None:
-            server.close()
+            (endpoint.server or server).close()
 
         self._cleanups.append(close)
         self.endpoints[endpoint_id] = endpoint
--- a/tests/standins/scripted_endpoint.py
+++ b/tests/standins/scripted_endpoint.py
@@ -99,13 +99,16 @@
                     reset_connection(writer)
                     return False
                 case "crash":
-                    self.server.close()
-                    reset_connection(writer)
+                    self._crash(writer)
                     return False
                 case "close":
                     return False
         return True
 
+    def _crash(self, writer: asyncio.StreamWriter) -> None:
+        self.server.close()
+        reset_connection(writer)
+
     def _with_headers(self, step: bytes, arrival: Arrival) -> bytes:
         """Fill in the request's identifier, and add the limit to a response head."""
         data = step.replace(b"$ID", arrival.request_id.encode())
