Quarantine parts of prompts that crash endpoints

Cause: evidence on crashes was kept by the digest of a request. Requests that share only the cause have different digests, so each was a suspect for the first time. Ruled out: a verdict that spreads late (no request was refused as crashing), and repeats that pass a verdict (first attempts crash as well).

Change: evidence is kept for each shared part of a prompt, and refuted by later successes at any host; retries are checked as well as first attempts.

--- a/src/amaranthhollow/decisions/membership.py
+++ b/src/amaranthhollow/decisions/membership.py
@@ -82,6 +82,11 @@
         self.table = GossipTable(host)
         self._publish_own_info(info)
 
+    @property
+    def host(self) -> str:
+        """The host of this daemon."""
+        return self._host
+
     @property
     def hosts(self) -> list[str]:
         """Hosts of all daemons that are not lost, including this one."""
--- a/src/amaranthhollow/entry/crash_detector.py
+++ b/src/amaranthhollow/entry/crash_detector.py
@@ -1,4 +1,4 @@
-"""Quarantines requests that crash endpoints, on evidence shared by all hosts.
+"""Quarantines requests and prompts that crash endpoints, on evidence of all hosts.
 
 A lost connection alone is no crash: responses are lost for other reasons, too. It
 counts as one when the endpoint accepts no new connection shortly afterwards.
@@ -15,7 +15,13 @@
 import logbook
 
 from amaranthhollow.decisions.gossip import Fact, Version
+from amaranthhollow.decisions.prompt_quarantine import (
+    PART_CRASH_FACT,
+    PART_SUCCESS_FACT,
+    PromptQuarantine,
+)
 from amaranthhollow.decisions.quarantine import CRASH_FACT, Quarantine
+from amaranthhollow.serving.clock import now
 from amaranthhollow.serving.endpoint_connection import connect
 
 if TYPE_CHECKING:
@@ -23,6 +29,7 @@
 
     from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.decisions.membership import Membership
+    from amaranthhollow.decisions.site_clock import SiteClock
     from amaranthhollow.serving.request import CallerRequest
     from amaranthhollow.state.site_state import SiteState
 
@@ -39,26 +46,39 @@
 UPDATE_INTERVAL_SECONDS = 0.1
 # A lost connection is checked and evaluated within a second.
 LOSS_RETENTION_SECONDS = 5.0
+# An endpoint crashes when it begins to respond, so a response that has been going on
+# for this long is not the cause.
+SETTLED_SECONDS = 1.0
 
 log = logbook.Logger("crashes")
 
 
 @dataclass(frozen=True)
 class _ConnectionLoss:
-    """A lost connection of a request, at a time in seconds since the Unix epoch."""
+    """A lost connection of a request, at a time in seconds since the Unix epoch.
+
+    ``part_ids`` are the shared parts of the prompt that may have caused the loss, and
+    ``lost_at_site_time`` is by the clock that the hosts agree on.
+    """
 
     request_digest: bytes
     lost_at: float
+    lost_at_site_time: float
+    part_ids: tuple[str, ...]
 
 
 class CrashDetector:
     """Collects one host's evidence of crashes and merges that of its peers."""
 
-    def __init__(self, site: SiteState, membership: Membership) -> None:
+    def __init__(
+        self, site: SiteState, membership: Membership, clock: SiteClock
+    ) -> None:
         """Share evidence through ``membership``."""
         self._site = site
         self._membership = membership
+        self._clock = clock
         self._quarantine = Quarantine()
+        self._prompts = PromptQuarantine(membership.host)
         self._has_evidence = False
         self._cleared: set[str] = set()
         self._lost_at_by_digest: dict[bytes, float] = {}
@@ -66,15 +86,26 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def is_quarantined(self, request: CallerRequest) -> bool:
-        """Return whether a request has crashed the endpoints that ran it."""
+        """Return whether a request, or a part of its prompt, crashes endpoints."""
+        if self._prompts.is_quarantined(
+            _shared_parts(request), self._membership.peers, self._site_time()
+        ):
+            return True
         if not self._has_evidence:
             return False
         digest = request_digest(request)
         is_cleared = digest.hex() in self._cleared
         return not is_cleared and self._quarantine.is_quarantined(digest, time.time())
 
-    def record_success(self, request: CallerRequest) -> None:
-        """Clear a suspected request that an endpoint has run successfully."""
+    def record_success(self, request: CallerRequest, sent_at: float) -> None:
+        """Clear a suspected request that an endpoint has run successfully.
+
+        ``sent_at`` is the time on the monotonic clock of its last attempt.
+        """
+        facts = self._prompts.record_success(
+            _shared_parts(request), self._clock.wall_time(sent_at)
+        )
+        self._publish(facts)
         if not (self._has_evidence or self._lost_at_by_digest):
             return
         digest = request_digest(request)
@@ -82,14 +113,22 @@
         was_lost = digest in self._lost_at_by_digest
         is_suspect = was_lost or self._quarantine.is_suspect(digest)
         if is_suspect and name not in self._cleared:
-            fact = Fact(CLEARED_FACT, name, Version(1), b"")
-            self.apply_facts(self._membership.merge([fact], time.time()))
+            self._publish([Fact(CLEARED_FACT, name, Version(1), b"")])
 
     def record_connection_loss(
-        self, request: CallerRequest, endpoint: Endpoint
+        self, request: CallerRequest, endpoint: Endpoint, began_at: float | None
     ) -> None:
-        """Record that an endpoint closed the connection before it had responded."""
-        loss = _ConnectionLoss(request_digest(request), time.time())
+        """Record that an endpoint closed the connection before it had responded.
+
+        ``began_at`` is the time on the monotonic clock of its first event, if any.
+        """
+        is_settled = began_at is not None and now() - began_at >= SETTLED_SECONDS
+        loss = _ConnectionLoss(
+            request_digest(request),
+            time.time(),
+            self._site_time(),
+            () if is_settled else _shared_parts(request),
+        )
         self._lost_at_by_digest[loss.request_digest] = loss.lost_at
         pending_losses = self._losses_by_endpoint.get(endpoint.host)
         if pending_losses is not None:
@@ -103,6 +142,8 @@
     def apply_facts(self, facts: Iterable[Fact]) -> None:
         """Apply facts that gossip reported as new."""
         for fact in facts:
+            if fact.kind in (PART_CRASH_FACT, PART_SUCCESS_FACT):
+                self._apply_part_fact(fact)
             if fact.kind == CLEARED_FACT:
                 self._cleared.add(fact.name)
             if fact.kind == CRASH_FACT:
@@ -122,14 +163,27 @@
             await asyncio.sleep(UPDATE_INTERVAL_SECONDS)
             instant = time.time()
             reclaimed = [e.host for e in self._site.endpoints.all() if e.is_reclaimed]
-            facts = self._quarantine.confirm_evidence(reclaimed, instant)
-            self.apply_facts(self._membership.merge(facts, instant))
+            self._publish(self._quarantine.confirm_evidence(reclaimed, instant))
             self._expire_losses(instant)
             for name in self._quarantine.expire(instant):
                 self._membership.table.remove(CRASH_FACT, name)
                 digest_hex = name.partition("/")[0]
                 self._cleared.discard(digest_hex)
                 self._membership.table.remove(CLEARED_FACT, digest_hex)
+            for kind, name in self._prompts.expire(self._site_time()):
+                self._membership.table.remove(kind, name)
+
+    def _publish(self, facts: Iterable[Fact]) -> None:
+        """Share facts with the other hosts, and apply those that are new."""
+        self.apply_facts(self._membership.merge(facts, time.time()))
+
+    def _apply_part_fact(self, fact: Fact) -> None:
+        replies = self._prompts.apply(fact, self._site_time())
+        log.info("prompt evidence", extra={"kind": fact.kind, "part": fact.name})
+        self._publish(replies)
+
+    def _site_time(self) -> float:
+        return self._clock.wall_time(now())
 
     def _expire_losses(self, instant: float) -> None:
         """Remove lost connections that have become evidence by now or never will."""
@@ -156,6 +210,21 @@
                 instant,
                 loss.lost_at,
             )
+        current = self._site.endpoints.get(endpoint.host)
+        if current is not None and current.is_reclaimed:
+            return
+        crash_id = f"{listed.host}@{listed.incarnation}"
+        for loss in losses:
+            self._publish(
+                self._prompts.crash_facts(
+                    loss.part_ids, crash_id, loss.lost_at_site_time
+                )
+            )
+
+
+def _shared_parts(request: CallerRequest) -> tuple[str, ...]:
+    """Return the parts of a prompt that other requests may have, too."""
+    return tuple(part.part_id for part in request.prompt[:-1])
 
 
 def request_digest(request: CallerRequest) -> bytes:
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -55,16 +55,20 @@
         host.prompt_times(admitted.service).observe(tokens, seconds)
 
     def notify_connection_lost(
-        request: CallerRequest, admitted: Admitted, endpoint: Endpoint
+        request: CallerRequest,
+        admitted: Admitted,
+        endpoint: Endpoint,
+        began_at: float | None,
     ) -> None:
         host.metrics.attempt_failures.labels(admitted.service).inc()
-        host.crash_detector.record_connection_loss(request, endpoint)
+        host.crash_detector.record_connection_loss(request, endpoint, began_at)
 
     return ForwardingCallbacks(
         spend_retry=spend_retry,
         notify_response_started=notify_response_started,
         notify_prompt_read=notify_prompt_read,
         notify_connection_lost=notify_connection_lost,
+        is_quarantined=host.crash_detector.is_quarantined,
         notify_response_head=limits.observe_response,
         may_send=limits.may_send,
         notify_sending=limits.record_sent,
@@ -152,7 +156,7 @@
         request_log: RequestLog,
     ) -> None:
         if exchange.is_finished and exchange.status in SUCCESS:
-            self._host.crash_detector.record_success(request)
+            self._host.crash_detector.record_success(request, request_log.sent_at)
         seconds = now() - request.arrived_at
         first_part = None
         if request_log.first_part_at is not None:
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -221,13 +221,14 @@
     bounds = settings.bounds
     site = SiteState(SiteDecoders(decode_configuration, decode_endpoint))
     membership = Membership(settings.host, incarnation, info)
+    clock = SiteClock(time.time(), now())
     host = Host(
         settings=settings,
         incarnation=incarnation,
         site=site,
         membership=membership,
-        crash_detector=CrashDetector(site, membership),
-        clock=SiteClock(time.time(), now()),
+        crash_detector=CrashDetector(site, membership, clock),
+        clock=clock,
         chooser=EndpointChooser(settings.data_centre, random),
         usage=UsageCounts(bounds.usage_window),
         store=StoreClient(HttpClient(*_split_address(settings.store)), count_call),
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -28,13 +28,15 @@
 class RequestLog:
     """Record of one forwarded request, for its log event.
 
-    ``software_versions`` are those of the endpoints that sent events of a stream.
+    ``software_versions`` are those of the endpoints that sent events of a stream, and
+    ``sent_at`` is the time of the last attempt.
     """
 
     endpoints: list[str] = field(default_factory=list)
     software_versions: list[str] = field(default_factory=list)
     cache_sources: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
+    sent_at: float = 0.0
     first_part_at: float | None = None
 
 
@@ -44,7 +46,9 @@
 
     ``spend_retry`` takes a retry from the budget of a service, and returns False if
     none is left. ``notify_prompt_read`` gets the prompt tokens that an endpoint had to
-    read for a first event, and the seconds it took. ``notify_response_head`` gets each
+    read for a first event, and the seconds it took. ``notify_connection_lost`` gets the
+    time of the first event of the lost attempt, if any, and ``is_quarantined`` returns
+    whether a request must not be sent again. ``notify_response_head`` gets each
     response of an endpoint, and the time at which the request was sent. ``may_send``
     returns whether an endpoint's own limit allows a request now, and
     ``notify_sending`` gets the endpoint of each attempt. ``notify_stream_started`` gets
@@ -56,7 +60,10 @@
     spend_retry: Callable[[str], bool]
     notify_response_started: Callable[[Admitted], None]
     notify_prompt_read: Callable[[Admitted, int, float], None]
-    notify_connection_lost: Callable[[CallerRequest, Admitted, Endpoint], None]
+    notify_connection_lost: Callable[
+        [CallerRequest, Admitted, Endpoint, float | None], None
+    ]
+    is_quarantined: Callable[[CallerRequest], bool]
     notify_response_head: Callable[[Endpoint, ResponseInfo, float], None]
     may_send: Callable[[Endpoint], bool]
     notify_sending: Callable[[Endpoint], None]
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -81,6 +81,7 @@
         self._has_retry = False
         self._splitter = EventSplitter(request.last_event_id)
         self._software_version: str | None = None
+        self._began_at: float | None = None
         self.log = log
 
     async def forward(self) -> None:
@@ -115,6 +116,9 @@
                     if not self._has_retry and not self._reserve_retry():
                         return self._respond_with_failure()
                     self._has_retry = False
+            if self._forwarder.callbacks.is_quarantined(self._request):
+                self._log_failure("crashes endpoints")
+                return self._respond_with_failure()
 
     @property
     def _takes_up_stream(self) -> bool:
@@ -201,6 +205,8 @@
             self._forwarder.record_attempt_failure(endpoint, is_unreachable=True)
             return NotRun(f"connection to {endpoint.host} failed")
         self._sent_count += 1
+        self._began_at = None
+        self.log.sent_at = attempt.sent_at
         self._exchange.continues_after_disconnect = (
             self._route.kind is RouteKind.NON_IDEMPOTENT
         )
@@ -354,6 +360,7 @@
                 self._admitted, self._pending_tokens, now() - attempt.sent_at
             )
             self._pending_tokens = 0
+        self._began_at = self._began_at or now()
         if self.log.first_part_at is None:
             self.log.first_part_at = now()
             self._forwarder.callbacks.notify_response_started(self._admitted)
@@ -382,7 +389,7 @@
 
     def _connection_lost(self, endpoint: Endpoint, detail: str) -> OutcomeUnknown:
         self._forwarder.callbacks.notify_connection_lost(
-            self._request, self._admitted, endpoint
+            self._request, self._admitted, endpoint, self._began_at
         )
         return OutcomeUnknown(f"{endpoint.host} {detail}")
 
