Don't complete a resumed stream that an endpoint ends without any event

Callers saw: a stream that ended as complete before its last event. The second endpoint had crashed before its first event, in a response without a length or chunks, and the events of the first endpoint counted as its own.

A response with a proper end and no event still completes a stream whose last event the first endpoint had sent.

--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -380,16 +380,17 @@
     def _finish_stream(
         self, endpoint: Endpoint, response: ResponseInfo
     ) -> AttemptResult:
+        has_end = not response.head.is_close_delimited
         if self._splitter.has_partial_event:
             reason = "ended its stream within an event"
-        elif not self._exchange.has_started:
+        elif self._began_at is None and not (has_end and self._exchange.has_started):
             reason = "ended its stream before the first event"
         else:
             self._exchange.finish()
             return Delivered()
-        if response.head.is_close_delimited:
-            return self._connection_lost(endpoint, reason)
-        return OutcomeUnknown(f"{endpoint.host} {reason}")
+        if has_end:
+            return OutcomeUnknown(f"{endpoint.host} {reason}")
+        return self._connection_lost(endpoint, reason)
 
     def _connection_lost(self, endpoint: Endpoint, detail: str) -> OutcomeUnknown:
         self._forwarder.callbacks.notify_connection_lost(
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -4,7 +4,12 @@
 
 import asyncio
 
-from tests.standins.scripted_endpoint import plain_response, sse_event, stream_response
+from tests.standins.scripted_endpoint import (
+    plain_response,
+    sse_event,
+    stream_response,
+    unframed_stream,
+)
 
 
 async def test_cut_stream_is_resumed_if_route_allows(site, daemon_address):
@@ -67,6 +72,23 @@
         assert b"HTTP/1.1" not in response.body
 
 
+# A stream was ended as complete at an endpoint that crashed before its first event.
+async def test_resumed_stream_that_ends_without_events_is_incomplete(
+    site, daemon_address
+):
+    cut = stream_response(sse_event(1), 0.05, "reset", has_last_chunk=False)
+    for endpoint in site.endpoints.values():
+        endpoint.default_script = unframed_stream(0.05)
+    site.endpoints["e1"].default_script = cut
+    responses = [
+        await site.send_request(daemon_address, "/stream/", f"r{n}") for n in range(4)
+    ]
+
+    started = [response for response in responses if response.status == 200]
+    assert started
+    assert not any(response.is_complete for response in started)
+
+
 async def test_disconnecting_caller_cancels_its_stream(site, daemon_address):
     endless = stream_response(sse_event(1), *([0.1, sse_event(2)] * 40))
     for endpoint in site.endpoints.values():
