--- a/benchmarks/entry_capacity.py
+++ b/benchmarks/entry_capacity.py
@@ -16,6 +16,7 @@
 from amaranthhollow.decisions.endpoint_limits import EndpointLimiter
 from amaranthhollow.decisions.endpoints import Endpoint, ListedEndpoint
 from amaranthhollow.decisions.gossip import GossipMessage
+from amaranthhollow.decisions.prompt_quarantine import PromptQuarantine
 from amaranthhollow.decisions.prompts import PromptPart, PromptShape
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.site import Quota
@@ -169,6 +170,24 @@
     return size, microseconds(share, 20_000)
 
 
+def measure_prompt_quarantine(suspects: int) -> tuple[float, float, int]:
+    """Return the time to check a sound request, one of a suspect, and a fact's bytes.
+
+    The suspects ran at one crash each, and one of them at two.
+    """
+    quarantine = PromptQuarantine("host-1")
+    size = 0
+    for number in range(suspects):
+        for crash in range(2 if number == 0 else 1):
+            part, crashed_at = f"part-{number}", 100.0 + crash
+            (fact,) = quarantine.crash_facts((part,), f"e{crash}@1", crashed_at)
+            quarantine.apply(fact, 100.0)
+            size = fact.size
+    sound = microseconds(lambda: quarantine.is_quarantined(("x", "y"), (), 110.0))
+    bad = microseconds(lambda: quarantine.is_quarantined(("x", "part-0"), (), 110.0))
+    return sound, bad, size
+
+
 def main() -> None:
     """Print all results."""
     for count in ENDPOINT_COUNTS:
@@ -185,6 +204,12 @@
     for rate in (1.0, 20.0):
         cost = measure_limit(rate)
         print(f"an endpoint's limit of {rate:g} a second: {cost:.0f} us a second")
+    for suspects in (30, 1_000, 10_000):
+        sound, bad, size = measure_prompt_quarantine(suspects)
+        print(
+            f"{suspects} suspected parts of prompts: {sound:.1f} us a sound request, "
+            f"{bad:.0f} us one of a suspect; a fact of {size} bytes"
+        )
 
 
 main()
