--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -16,10 +16,11 @@
 from tests.standins.scripted_endpoint import Arrival, ScriptedEndpoint
 from tests.standins.store import StoreStandIn
 
-__all__ = ["API_KEY", "EntrySite", "HttpResponse", "read_response"]
+__all__ = ["API_KEY", "CUT_DAEMON", "EntrySite", "HttpResponse", "read_response"]
 
 ROOT = Path(__file__).resolve().parents[2]
 API_KEY = "key-1"
+CUT_DAEMON = "tests.standins.cut_daemon"
 STORE_PORT, CLOUD_PORT, ENDPOINT_PORT = 2380, 2381, 9000
 CALLER_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 8221, 8224, 9464, 7600
 START_TIMEOUT_SECONDS = 20.0
@@ -42,6 +43,7 @@
     store: StoreStandIn = field(default_factory=StoreStandIn)
     endpoints: dict[str, ScriptedEndpoint] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    daemon_module: str = "amaranthhollow.entry"
     _cleanups: list = field(default_factory=list)
 
     async def start(self) -> None:
@@ -168,13 +170,30 @@
         file.write_text(yaml.safe_dump(settings))
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "amaranthhollow.entry"],
-                env={**os.environ, "AMARANTHHOLLOW_NODE_FILE": str(file)},
+                [sys.executable, "-m", self.daemon_module],
+                env={
+                    **os.environ,
+                    "AMARANTHHOLLOW_NODE_FILE": str(file),
+                    "AMARANTHHOLLOW_TEST_CUT": str(self._cut_file(name)),
+                },
+                cwd=ROOT,
                 stdout=log,
                 stderr=log,
             )
         return address
 
+    def set_links(self, name: str, state: str) -> None:
+        """Set the state of a host's links to the endpoints; see ``cut_daemon``.
+
+        Daemons have to run with ``daemon_module`` set to ``CUT_DAEMON``.
+        """
+        self._cut_file(name).write_text(state)
+
+    def _cut_file(self, name: str) -> Path:
+        file = self.folder / f"{name}.links"
+        file.touch()
+        return file
+
     def read_log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
 
