Connect to endpoints through peers when a host has lost its links

Cause: a host had one way to an endpoint, and took each failed connection for a failure of that endpoint. It tried all of them in turn, 0.4 s each, again for every request, though its peers reached them. Ruled out: pooled connections that hang (seen in the first 1.5 s only); readiness alone, which leaves open connections and data centres in which most hosts are cut off where they are.

Change: peers relay connections; a host whose own connection does not open, or that knows its links to be lost, connects through one of them. While no peer reaches an endpoint either, requests are refused at once.

--- a/src/amaranthhollow/decisions/endpoints.py
+++ b/src/amaranthhollow/decisions/endpoints.py
@@ -117,6 +117,13 @@
         """Return all endpoints, including those that are gone."""
         return list(self._by_host.values())
 
+    def has_address(self, address_and_port: str) -> bool:
+        """Return whether an endpoint listens at ``ADDRESS:PORT``."""
+        return any(
+            endpoint.address_and_port == address_and_port
+            for endpoint in self._by_host.values()
+        )
+
     def usable(
         self,
         deployment: str,
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from amaranthhollow.decisions.endpoint_links import RelayPeer, preferred_relays
 from amaranthhollow.decisions.prompt_times import PromptTimes
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.retries import RetryBudget
@@ -23,6 +24,7 @@
     from amaranthhollow.entry.crash_detector import CrashDetector
     from amaranthhollow.entry.metrics import Metrics
     from amaranthhollow.entry.settings import EntrySettings
+    from amaranthhollow.peers.endpoint_dialer import EndpointDialer
     from amaranthhollow.platform.store import StoreClient
     from amaranthhollow.state.site_state import SiteState
 
@@ -36,7 +38,8 @@
     """The shared state of the daemon on one entry host.
 
     ``sharing_hosts`` are the hosts among which the limits of endpoints are divided,
-    including this one; empty until all of them can know of it.
+    including this one; empty until all of them can know of it. ``can_relay_by_peer``
+    is whether peers report that they relay connections to endpoints.
     """
 
     settings: EntrySettings
@@ -51,11 +54,13 @@
     duty: DutyState
     crash_detector: CrashDetector
     clock: SiteClock
+    dialer: EndpointDialer
     quotas: QuotaLimiter = field(default_factory=QuotaLimiter)
     retry_budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     prompt_times_by_service: dict[str, PromptTimes] = field(default_factory=dict)
     usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
     host_counts: HostCounts = field(default_factory=HostCounts)
+    can_relay_by_peer: dict[str, bool] = field(default_factory=dict)
     reachable_hosts: tuple[str, ...] = ()
     sharing_hosts: tuple[str, ...] = ()
     is_draining: bool = False
@@ -98,6 +103,27 @@
         """The position of this host's name among those of all reachable hosts."""
         return sorted({*self.reachable_hosts, self.name}).index(self.name)
 
+    @property
+    def can_relay(self) -> bool:
+        """Whether peers may connect to endpoints through this host."""
+        return self.dialer.has_links and not self.is_draining
+
+    def can_relay_to(self, endpoint: str) -> bool:
+        """Return whether peers may connect to ``ADDRESS:PORT`` through this host."""
+        return self.dialer.may_reach(endpoint) and not self.is_draining
+
+    def relays(self) -> list[str]:
+        """Return the addresses of peers that may relay connections to endpoints."""
+        active = set(self.membership.active_hosts)
+        peers = [
+            RelayPeer(info.address, info.data_centre, self.can_relay_by_peer[name])
+            for name in self.reachable_hosts
+            if name in active
+            and name in self.can_relay_by_peer
+            and (info := self.membership.info(name)) is not None
+        ]
+        return preferred_relays(peers, self.settings.data_centre, self.random)
+
     def prompt_times(self, service: str) -> PromptTimes:
         """Return the times that the engines of a service took to read prompts."""
         return self.prompt_times_by_service.setdefault(service, PromptTimes())
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -210,6 +210,7 @@
         ]:
             del self._last_seen_at_by_host[name]
             host.chooser.forget_host(name)
+            host.can_relay_by_peer.pop(name, None)
             host.clock.forget(name)
         for process, at in list(self._last_seen_at_by_process.items()):
             if instant - at >= REPORT_RETENTION_SECONDS:
@@ -223,7 +224,12 @@
     def _build_report(self) -> HostReport:
         host = self._host
         usage = host.usage.report(REPORTED_USAGE_WINDOWS)
-        return HostReport(usage, host.quotas.spent(), host.chooser.local_loads())
+        return HostReport(
+            usage,
+            host.quotas.spent(),
+            host.chooser.local_loads(),
+            host.can_relay,
+        )
 
     def _merge_gossip(self, message: Ping | Echo) -> object:
         membership = self._host.membership
@@ -289,6 +295,7 @@
         self._first_seen_at_by_process.setdefault(process, now())
         self._last_seen_at_by_process[process] = now()
         host.chooser.observe(name, report.loads)
+        host.can_relay_by_peer[name] = report.can_relay
         is_recent = incarnation > host.incarnation - RECENT_START_MS
         host.quotas.observe(process, report.spent, is_recent=is_recent)
         previous = host.usage_by_process.get(process, {})
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -21,6 +21,7 @@
 from amaranthhollow.entry.duty_lease import DutyLease
 from amaranthhollow.entry.endpoint_limits import EndpointLimits
 from amaranthhollow.entry.host import Host
+from amaranthhollow.entry.link_probe import LinkProbe
 from amaranthhollow.entry.metrics import CONTENT_TYPE, Metrics
 from amaranthhollow.entry.peer_documents import PeerDocuments
 from amaranthhollow.entry.peering import Peering
@@ -29,6 +30,8 @@
 from amaranthhollow.entry.site_sync import HostRegistration, SiteSync
 from amaranthhollow.entry.stream_origins import StreamOrigins
 from amaranthhollow.entry.usage_duty import UsageDuty
+from amaranthhollow.peers.endpoint_dialer import EndpointDialer
+from amaranthhollow.peers.relay_listener import RelayListener
 from amaranthhollow.platform.cloud import CloudClient
 from amaranthhollow.platform.documents import decode_configuration, decode_endpoint
 from amaranthhollow.platform.endpoints import (
@@ -76,7 +79,8 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._host = host = _build_host(settings)
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(host.dialer.dial)
+        host.dialer.notify_links_lost = self._pool.close_idle
         codec = EndpointCodec(encode_dispatch, expected_echo, decode_response_head)
         self._limits = limits = EndpointLimits(host)
         documents = PeerDocuments(host)
@@ -111,6 +115,13 @@
         )
         self._metrics = Listener(self._serve_metrics, address, settings.metrics_port)
         self._documents = Listener(documents.serve, address, settings.peer_ports.first)
+        self._relay = RelayListener(
+            address,
+            settings.peer_ports.relay,
+            may_relay=host.site.endpoints.has_address,
+            can_relay=host.can_relay_to,
+            notify_connect=host.dialer.record_direct,
+        )
         self._stop_requested = asyncio.Event()
         self._was_ready: bool | None = None
 
@@ -119,7 +130,13 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_settings_change)
-        listeners = (self._callers, self._readiness, self._metrics, self._documents)
+        listeners = (
+            self._callers,
+            self._readiness,
+            self._metrics,
+            self._documents,
+            self._relay,
+        )
         for listener in listeners:
             await listener.start()
         await self._peering.start()
@@ -134,6 +151,7 @@
             ScalingDuty(host, cloud).run(),
             host.crash_detector.run(),
             self._origins.run(),
+            LinkProbe(host).run(),
             self._run_maintenance(),
         ]
         tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
@@ -157,7 +175,9 @@
         log.info("draining", extra={"open": self._callers.open_exchanges})
         await asyncio.sleep(BALANCER_REMOVAL_SECONDS)
         self._handler.rejects_new_requests = True
-        while now() < exit_at and self._callers.connections:
+        while now() < exit_at and (
+            self._callers.connections or self._relay.connections
+        ):
             self._callers.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
 
@@ -167,7 +187,8 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
             site, metrics = self._host.site, self._host.metrics
             listed = [e for e in site.endpoints.all() if e.is_listed]
-            self._pool.retain({address_of(endpoint) for endpoint in listed})
+            relays = () if self._host.dialer.has_links else self._host.relays()
+            self._pool.retain({address_of(endpoint) for endpoint in listed}, relays)
             self._host.chooser.retain({endpoint.host for endpoint in listed})
             self._limits.forget_unlisted()
             self._origins.update()
@@ -229,6 +250,7 @@
         membership=membership,
         crash_detector=CrashDetector(site, membership, clock),
         clock=clock,
+        dialer=EndpointDialer(lambda: host.relays(), settings.peer_ports.relay),
         chooser=EndpointChooser(settings.data_centre, random),
         usage=UsageCounts(bounds.usage_window),
         store=StoreClient(HttpClient(*_split_address(settings.store)), count_call),
--- a/src/amaranthhollow/entry/settings.py
+++ b/src/amaranthhollow/entry/settings.py
@@ -24,6 +24,11 @@
     first: int
     last: int
 
+    @property
+    def relay(self) -> int:
+        """The port at which hosts relay connections to endpoints."""
+        return self.first + 1
+
 
 class Bounds(msgspec.Struct, frozen=True):
     """Limits that the site sets for the daemon; in seconds unless named otherwise."""
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -30,12 +30,14 @@
     """Usage and load caused by one host; ``usage`` and ``spent`` are cumulative.
 
     ``usage`` is by window and workspace, ``spent`` by workspace, and ``loads`` gives
-    requests and pending prompt tokens by endpoint.
+    requests and pending prompt tokens by endpoint. ``can_relay`` is whether
+    connections to endpoints may be relayed through the host.
     """
 
     usage: dict[int, dict[str, int]]
     spent: dict[str, float]
     loads: dict[str, EndpointLoad]
+    can_relay: bool = True
 
 
 class FreshnessReport(msgspec.Struct, frozen=True, array_like=True):
--- a/src/amaranthhollow/serving/connection_pool.py
+++ b/src/amaranthhollow/serving/connection_pool.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from amaranthhollow.serving.clock import now
-from amaranthhollow.serving.endpoint_connection import connect
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Collection
+
     from amaranthhollow.serving.endpoint_connection import EndpointConnection
 
 __all__ = ["ConnectionPool", "EndpointAddress"]
@@ -15,9 +16,6 @@
 EndpointAddress = tuple[str, str, int]
 """An endpoint's incarnation, IP address and port."""
 
-# A lost SYN is first retransmitted after 1 s (RFC 6298); another endpoint is tried
-# before that.
-CONNECT_TIMEOUT_SECONDS = 0.4
 # For endpoints whose responses announce no idle timeout.
 DEFAULT_IDLE_SECONDS = 4.0
 # A connection used this recently is assumed to be still open at the endpoint.
@@ -27,8 +25,11 @@
 class ConnectionPool:
     """Idle connections by endpoint; the most recently used is reused first."""
 
-    def __init__(self) -> None:
-        """Create an empty pool."""
+    def __init__(
+        self, dial: Callable[[str, int], Awaitable[EndpointConnection | None]]
+    ) -> None:
+        """Open new connections with ``dial``, which gets an address and a port."""
+        self._dial = dial
         self._idle_by_address: dict[EndpointAddress, list[EndpointConnection]] = {}
         self.opened_count = 0
 
@@ -56,7 +57,7 @@
                 return connection
             connection.close()
         self.opened_count += 1
-        return await connect(address[1], address[2], CONNECT_TIMEOUT_SECONDS)
+        return await self._dial(address[1], address[2])
 
     def release(
         self,
@@ -76,8 +77,20 @@
         connection.idle_until = now() + seconds
         self._idle_by_address.setdefault(address, []).append(connection)
 
-    def retain(self, addresses: set[EndpointAddress]) -> None:
-        """Close idle connections to all other addresses, and expired ones."""
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.close()
+        self._idle_by_address.clear()
+
+    def retain(
+        self, addresses: set[EndpointAddress], relays: Collection[str] = ()
+    ) -> None:
+        """Close idle connections to all other addresses, and expired ones.
+
+        Connections that a peer relays are kept only if it is one of ``relays``.
+        """
         instant = now()
         for address, idle in list(self._idle_by_address.items()):
             kept = [
@@ -86,6 +99,7 @@
                 if address in addresses
                 and connection.is_reusable
                 and instant < connection.idle_until
+                and (connection.relay is None or connection.relay in relays)
             ]
             for connection in idle:
                 if connection not in kept:
--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -20,6 +20,7 @@
     "LossKind",
     "ResponseEnd",
     "connect",
+    "set_timeouts",
 ]
 
 # TCP_USER_TIMEOUT of Linux tcp(7): data unacknowledged for this long ends the
@@ -68,7 +69,8 @@
     """HTTP/1.1 client connection that carries one request at a time.
 
     :meth:`read` returns the events of the response. A response that does not echo
-    the identifier of the request belongs to an earlier one and is ignored.
+    the identifier of the request belongs to an earlier one and is ignored. ``relay``
+    is the address of the peer that relays the connection, if any.
     """
 
     def __init__(self) -> None:
@@ -91,6 +93,7 @@
         self._head_bytes = 0
         self.last_used_at = now()
         self.idle_until = 0.0
+        self.relay: str | None = None
 
     # asyncio.Protocol
 
@@ -278,11 +281,12 @@
             )
     except (OSError, TimeoutError):
         return None
-    _set_timeouts(transport.get_extra_info("socket"))
+    set_timeouts(transport.get_extra_info("socket"))
     return connection
 
 
-def _set_timeouts(sock: socket.socket) -> None:
+def set_timeouts(sock: socket.socket) -> None:
+    """Let a connection end soon after its other side has become unreachable."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
--- /dev/null
+++ b/tests/peers/test_relay.py
@@ -0,0 +1,167 @@
+"""Connections to endpoints that a peer relays."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from amaranthhollow.peers.relay_listener import RelayListener
+from amaranthhollow.peers.relay_protocol import RelayStatus
+from amaranthhollow.peers.relayed_connection import connect_through_peer
+from amaranthhollow.serving.endpoint_connection import (
+    BodyPart,
+    ConnectionLost,
+    ResponseEnd,
+)
+from amaranthhollow.serving.messages import ResponseHead
+from tests.conftest import next_network
+from tests.standins.scripted_endpoint import (
+    ScriptedEndpoint,
+    plain_response,
+    unframed_stream,
+)
+
+PORT = 9000
+REQUEST = b"GET / HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n"
+
+
+class RelayedSite:
+    """A relay and an endpoint on one network."""
+
+    def __init__(self):
+        self.network = next_network()
+        self.endpoint = ScriptedEndpoint("e1")
+        self.can_relay = True
+        self.results = []
+        self.relay = RelayListener(
+            f"{self.network}.21",
+            PORT,
+            may_relay=lambda target: target == f"{self.network}.11:{PORT}",
+            can_relay=lambda target: self.can_relay,
+            notify_connect=lambda target, succeeded: self.results.append(succeeded),
+        )
+
+    async def connect(self, number=11, timeout=1.0):
+        relay = (f"{self.network}.21", PORT)
+        return await connect_through_peer(
+            relay, (f"{self.network}.{number}", PORT), timeout
+        )
+
+
+@pytest.fixture
+async def relayed():
+    site = RelayedSite()
+    server = await site.endpoint.start(f"{site.network}.11", PORT)
+    await site.relay.start()
+    yield site
+    server.close()
+    site.relay.stop()
+
+
+async def read_response(connection):
+    """Return the events of a response, bodies joined."""
+    connection.send(REQUEST)
+    body, events = b"", []
+    while True:
+        match await connection.read():
+            case BodyPart(data):
+                body += data
+            case ResponseHead() as head:
+                events.append(head.status)
+            case (ResponseEnd() | ConnectionLost()) as end:
+                return [*events, body, end]
+
+
+async def test_responses_are_relayed_one_after_the_other(relayed):
+    large = b"x" * 3_000_000
+    connection = await relayed.connect()
+    relayed.endpoint.queued_scripts.extend([plain_response(large), plain_response()])
+
+    assert await read_response(connection) == [200, large, ResponseEnd()]
+    assert connection.is_reusable
+    assert await read_response(connection) == [200, b"whole", ResponseEnd()]
+    assert relayed.endpoint.connection_count == 1
+    assert relayed.results == [True]
+
+
+async def test_end_of_a_response_without_length_is_relayed(relayed):
+    relayed.endpoint.default_script = unframed_stream(b"id: 1\ndata: x\n\n")
+    connection = await relayed.connect()
+
+    assert await read_response(connection) == [
+        200,
+        b"id: 1\ndata: x\n\n",
+        ResponseEnd(),
+    ]
+
+
+async def test_reset_by_the_endpoint_is_relayed_as_a_loss(relayed):
+    relayed.endpoint.default_script = [*unframed_stream(b"x")[:-1], 0.05, "reset"]
+    connection = await relayed.connect()
+
+    assert isinstance((await read_response(connection))[-1], ConnectionLost)
+
+
+# A response without length seemed complete when the relaying peer was killed.
+async def test_end_of_the_relay_is_a_loss(relayed):
+    relayed.endpoint.default_script = [*unframed_stream(b"x")[:-1], 5.0]
+    connection = await relayed.connect()
+    reading = asyncio.create_task(read_response(connection))
+    await asyncio.sleep(0.1)
+    for peer in list(relayed.relay.connections):
+        peer.transport.close()
+
+    assert isinstance((await reading)[-1], ConnectionLost)
+
+
+async def test_abort_reaches_the_endpoint(relayed):
+    relayed.endpoint.default_script = [5.0, *plain_response()]
+    connection = await relayed.connect()
+    connection.send(REQUEST)
+    await asyncio.sleep(0.1)
+    connection.abort()
+    async with asyncio.timeout(1.0):
+        while relayed.relay.connections:
+            await asyncio.sleep(0.02)
+
+
+async def test_only_endpoints_are_relayed_to(relayed):
+    assert await relayed.connect(number=21) is RelayStatus.ENDPOINT_FAILED
+    assert relayed.results == []
+
+
+async def test_failed_endpoint_is_reported(relayed):
+    relayed.endpoint.server.close()
+
+    assert await relayed.connect() is RelayStatus.ENDPOINT_FAILED
+    assert relayed.results == [False]
+
+
+async def test_peer_without_links_says_so_at_once(relayed):
+    relayed.can_relay = False
+    started_at = time.monotonic()
+
+    assert await relayed.connect() is RelayStatus.NO_LINKS
+    assert time.monotonic() - started_at < 0.3
+
+
+async def test_unreachable_peer_counts_as_one_without_links(relayed):
+    relayed.relay.stop()
+
+    assert await relayed.connect() is RelayStatus.NO_LINKS
+
+
+@pytest.mark.parametrize(
+    "data", [b"\0\0\0\5", b"GET / HTTP/1.1\r\n\r\n" * 10, b"\xff" * 9]
+)
+async def test_bytes_that_name_no_endpoint_reach_none(relayed, data):
+    reader, writer = await asyncio.open_connection(f"{relayed.network}.21", PORT)
+    writer.write(data)
+    await asyncio.sleep(0.1)
+    writer.close()
+
+    assert relayed.endpoint.connection_count == 0
+    await asyncio.sleep(0.1)
+    assert not relayed.relay.connections
