Count a lost connection as a crash only if peers cannot connect either

Hosts that are cut off from all engines published evidence that engines crashed which served all other hosts: from 2 s into the cut on, against every engine, with the parts of all prompts that ran there. Enough of it would have refused sound prompts at all hosts.

Cause: the check after a lost connection asked whether this host can connect. Before a crash is reported, a peer is asked to connect now, too.

--- a/src/amaranthhollow/entry/crash_detector.py
+++ b/src/amaranthhollow/entry/crash_detector.py
@@ -1,7 +1,8 @@
 """Quarantines requests and prompts that crash endpoints, on evidence of all hosts.
 
 A lost connection alone is no crash: responses are lost for other reasons, too. It
-counts as one when the endpoint accepts no new connection shortly afterwards.
+counts as one when the endpoint accepts no new connection shortly afterwards, not even
+of a peer if this host may have lost its links to endpoints.
 """
 
 from __future__ import annotations
@@ -21,8 +22,8 @@
     PromptQuarantine,
 )
 from amaranthhollow.decisions.quarantine import CRASH_FACT, Quarantine
+from amaranthhollow.peers.endpoint_dialer import Reachability
 from amaranthhollow.serving.clock import now
-from amaranthhollow.serving.endpoint_connection import connect
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -30,6 +31,7 @@
     from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.decisions.membership import Membership
     from amaranthhollow.decisions.site_clock import SiteClock
+    from amaranthhollow.peers.endpoint_dialer import EndpointDialer
     from amaranthhollow.serving.request import CallerRequest
     from amaranthhollow.state.site_state import SiteState
 
@@ -42,7 +44,6 @@
 # A crash ends the endpoint's connections and its listener together; a check that
 # comes sooner may find the listener still open.
 CHECK_DELAY_SECONDS = 0.1
-CHECK_TIMEOUT_SECONDS = 0.4
 UPDATE_INTERVAL_SECONDS = 0.1
 # A lost connection is checked and evaluated within a second.
 LOSS_RETENTION_SECONDS = 5.0
@@ -71,12 +72,17 @@
     """Collects one host's evidence of crashes and merges that of its peers."""
 
     def __init__(
-        self, site: SiteState, membership: Membership, clock: SiteClock
+        self,
+        site: SiteState,
+        membership: Membership,
+        clock: SiteClock,
+        dialer: EndpointDialer,
     ) -> None:
-        """Share evidence through ``membership``."""
+        """Share evidence through ``membership``, and check endpoints by ``dialer``."""
         self._site = site
         self._membership = membership
         self._clock = clock
+        self._dialer = dialer
         self._quarantine = Quarantine()
         self._prompts = PromptQuarantine(membership.host)
         self._has_evidence = False
@@ -192,13 +198,12 @@
                 del self._lost_at_by_digest[digest]
 
     async def _check_endpoint(self, endpoint: Endpoint) -> None:
-        """Report lost connections as crashes if the endpoint accepts no new one."""
+        """Report lost connections as crashes if no host can open a new one."""
         listed = endpoint.listed
         await asyncio.sleep(CHECK_DELAY_SECONDS)
-        connection = await connect(listed.address, listed.port, CHECK_TIMEOUT_SECONDS)
+        reachability = await self._dialer.check(listed.address, listed.port)
         losses = self._losses_by_endpoint.pop(endpoint.host, [])
-        if connection is not None:
-            connection.close()
+        if reachability is not Reachability.UNREACHABLE:
             return
         instant = time.time()
         for loss in losses:
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -243,14 +243,15 @@
     site = SiteState(SiteDecoders(decode_configuration, decode_endpoint))
     membership = Membership(settings.host, incarnation, info)
     clock = SiteClock(time.time(), now())
+    dialer = EndpointDialer(lambda: host.relays(), settings.peer_ports.relay)
     host = Host(
         settings=settings,
         incarnation=incarnation,
         site=site,
         membership=membership,
-        crash_detector=CrashDetector(site, membership, clock),
+        crash_detector=CrashDetector(site, membership, clock, dialer),
         clock=clock,
-        dialer=EndpointDialer(lambda: host.relays(), settings.peer_ports.relay),
+        dialer=dialer,
         chooser=EndpointChooser(settings.data_centre, random),
         usage=UsageCounts(bounds.usage_window),
         store=StoreClient(HttpClient(*_split_address(settings.store)), count_call),
--- a/src/amaranthhollow/peers/endpoint_dialer.py
+++ b/src/amaranthhollow/peers/endpoint_dialer.py
@@ -99,22 +99,23 @@
         return connection
 
     async def check(self, address: str, port: int) -> Reachability:
-        """Return whether an endpoint accepts connections, at least of a peer."""
+        """Return whether an endpoint accepts connections, at least of a peer.
+
+        This is unknown if neither this host nor any peer seems to have links.
+        """
         connection = await self.dial_directly(address, port)
         if connection is not None:
             connection.close()
             return Reachability.REACHABLE
-        if not self._links.are_doubtful(now()):
-            return Reachability.UNREACHABLE
         result = await self._dial_through_peers(address, port)
         match result:
             case EndpointConnection():
                 result.close()
                 return Reachability.REACHABLE
-            case RelayStatus.ENDPOINT_FAILED:
-                return Reachability.UNREACHABLE
-            case _:
+            case RelayStatus.NO_LINKS if self._links.are_lost:
                 return Reachability.UNKNOWN
+            case _:
+                return Reachability.UNREACHABLE
 
     def record_direct(self, endpoint: str, succeeded: bool) -> None:
         """Record the result of a connection over this host's own links."""
