--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 import pytest
 
 from tests.conftest import next_network
-from tests.entry.entry_site import ENDPOINT_PORT, EntrySite
+from tests.entry.entry_site import CUT_DAEMON, ENDPOINT_PORT, EntrySite
 from tests.limit_rule import LimitRecord
 from tests.soak.callers import Caller, SentRequest, find_violations
 from tests.soak.endpoint import SoakEndpoint
@@ -46,6 +46,7 @@
 DRAIN_SECONDS = 2.2
 STABLE_SECONDS = 3.0
 LIMITED_RATES = (0.5, 1.0, 3.0)
+LINK_STATES = ("hang", "reset", "refuse")
 STORE_FAULTS = ("down", "refuse_connections", "is_silent")
 
 
@@ -73,6 +74,7 @@
         self.restore_random = Random(f"restores-{seed}")
         self.limit_random = Random(f"limits-{seed}")
         self.stream_random = Random(f"streams-{seed}")
+        self.link_random = Random(f"links-{seed}")
         self.stream_callers: list[StreamCaller] = []
         self.limited: SoakEndpoint | None = None
         self.limit_record = LimitRecord(0.0, float("inf"))
@@ -89,6 +91,7 @@
         return f"host-{number}"
 
     async def start(self) -> None:
+        self.site.daemon_module = CUT_DAEMON
         for number in ENDPOINT_NUMBERS:
             endpoint = SoakEndpoint(f"e{number}", random=Random(self.random.random()))
             endpoint.version = VERSIONS_BY_ENDPOINT[number]
@@ -135,6 +138,7 @@
         ]
         release = asyncio.create_task(self.release_one_endpoint())
         limit = asyncio.create_task(self.limit_one_endpoint())
+        cuts = asyncio.create_task(self.cut_links())
         restores = None
         if self.plays_restores:
             restores = asyncio.create_task(self.restore_store())
@@ -144,6 +148,7 @@
         )
         if restores is not None:
             restores.cancel()
+        cuts.cancel()
         await asyncio.gather(limit, release)
         await self.clear_faults()
         counts_before = [len(caller.sent_requests) for caller in self.callers]
@@ -164,6 +169,19 @@
         self.limited.rate_limit = rate
         self.limit_record = LimitRecord(rate, time.monotonic())
 
+    async def cut_links(self) -> None:
+        """Cut hosts off from all endpoints, until cancelled."""
+        random = self.link_random
+        while True:
+            await asyncio.sleep(random.uniform(0.2, 1.5))
+            numbers = random.sample(HOST_NUMBERS, random.randint(1, 2))
+            state = random.choice(LINK_STATES)
+            for number in numbers:
+                self.site.set_links(self.host_name(number), state)
+            await asyncio.sleep(random.uniform(0.3, 3.0))
+            for number in numbers:
+                self.site.set_links(self.host_name(number), "")
+
     async def release_one_endpoint(self) -> None:
         """Replace an endpoint by one of another software version at its address."""
         await asyncio.sleep(self.stream_random.uniform(1.0, 5.0))
@@ -297,6 +315,8 @@
     async def clear_faults(self) -> None:
         for proxy in self.proxies:
             proxy.set_link_state(LinkState.HEALTHY)
+        for number in HOST_NUMBERS:
+            self.site.set_links(self.host_name(number), "")
         for endpoint in self.site.endpoints.values():
             endpoint.fault_share = 1e-9
         for number in HOST_NUMBERS:
