--- a/src/amaranthhollow/decisions/prompt_quarantine.py
+++ b/src/amaranthhollow/decisions/prompt_quarantine.py
@@ -157,10 +157,8 @@
 
     def _is_news(self, part: str) -> bool:
         """Return whether the own success of a part changes what hosts conclude."""
-        own, known = (
-            self._own_success_by_part.get(part),
-            self._success_by_part.get(part, 0.0),
-        )
+        own = self._own_success_by_part.get(part)
+        known = self._success_by_part.get(part, 0.0)
         crashes = self._crashes_by_part.get(part)
         if own is None or not crashes or own <= known:
             return False
@@ -222,11 +220,12 @@
         )
 
     def _is_cause_despite_success(self, part: str, now: float) -> bool:
+        """Return whether a part that was served before causes unexplained crashes."""
         explained: set[str] = set()
         for rival, crashes in self._crashes_by_part.items():
-            if rival not in self._success_by_part:
-                if _count(crashes.values()) >= MIN_CRASHES:
-                    explained.update(crashes)
+            is_unproven = rival not in self._success_by_part
+            if is_unproven and _count(crashes.values()) >= MIN_CRASHES:
+                explained.update(crashes)
         crashed_at = [
             at
             for crash_id, at in self._crashes_by_part[part].items()
--- a/src/amaranthhollow/peers/endpoint_dialer.py
+++ b/src/amaranthhollow/peers/endpoint_dialer.py
@@ -43,11 +43,7 @@
 class EndpointDialer:
     """Connects one host to endpoints, and keeps the state of its links."""
 
-    def __init__(
-        self,
-        relays: Callable[[], list[str]],
-        relay_port: int,
-    ) -> None:
+    def __init__(self, relays: Callable[[], list[str]], relay_port: int) -> None:
         """Use the peers that ``relays`` returns, which relay at ``relay_port``.
 
         ``notify_links_lost`` is called once it is certain that the links are lost.
--- a/src/amaranthhollow/peers/relayed_connection.py
+++ b/src/amaranthhollow/peers/relayed_connection.py
@@ -68,6 +68,7 @@
     """
     loop = asyncio.get_running_loop()
     transport = None
+    status = RelayStatus.NO_LINKS
     try:
         async with asyncio.timeout(timeout_seconds):
             transport, relayed = await loop.create_connection(
@@ -75,10 +76,11 @@
             )
             status = await asyncio.shield(relayed.status)
     except (OSError, TimeoutError):
-        status = RelayStatus.NO_LINKS
-    if status is RelayStatus.CONNECTED:
-        relayed.connection.relay = peer[0]
-        return relayed.connection
-    if transport is not None:
-        transport.abort()
-    return status
+        pass
+    finally:
+        if transport is not None and status is not RelayStatus.CONNECTED:
+            transport.abort()
+    if status is not RelayStatus.CONNECTED:
+        return status
+    relayed.connection.relay = peer[0]
+    return relayed.connection
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import time
 
 import pytest
@@ -127,6 +128,32 @@
             await asyncio.sleep(0.02)
 
 
+# A caller that left while a peer was connecting left the connection to it open.
+async def test_cancelled_attempt_leaves_no_connection(relayed):
+    silent = await asyncio.start_server(
+        lambda reader, writer: asyncio.sleep(5.0), f"{relayed.network}.22", PORT
+    )
+    connecting = asyncio.create_task(
+        connect_through_peer(
+            (f"{relayed.network}.22", PORT), (f"{relayed.network}.11", PORT), 5.0
+        )
+    )
+    await asyncio.sleep(0.1)
+    connecting.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await connecting
+    await asyncio.sleep(0.1)
+    silent.close()
+
+    transports = [
+        found
+        for found in gc.get_objects()
+        if isinstance(found, asyncio.Transport) and not found.is_closing()
+    ]
+    peers = [found.get_extra_info("peername") for found in transports]
+    assert (f"{relayed.network}.22", PORT) not in peers
+
+
 async def test_only_endpoints_are_relayed_to(relayed):
     assert await relayed.connect(number=21) is RelayStatus.ENDPOINT_FAILED
     assert relayed.results == []
