Give up a stream whose event never ends

Callers saw (stand-in; the bench cannot play it): an endpoint that sends bytes without end in a stream held one request to its deadline (504), and the host's memory and processor, as each piece was appended to all before it and searched again. The test failed before.

--- a/src/amaranthhollow/serving/event_stream.py
+++ b/src/amaranthhollow/serving/event_stream.py
@@ -4,6 +4,8 @@
 
 __all__ = ["EventSplitter"]
 
+# Several times the largest event, since an endpoint's events hold a few tokens each.
+MAX_EVENT_BYTES = 262_144
 EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
 ID_FIELD = b"id:"
 
@@ -25,6 +27,11 @@
         """Whether the data ends within an event."""
         return bool(self._partial_event)
 
+    @property
+    def is_event_too_long(self) -> bool:
+        """Whether the event in which the data ends exceeds the size limit."""
+        return len(self._partial_event) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, unchanged."""
         self._partial_event += data
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -314,6 +314,10 @@
                 case BodyPart(data):
                     self._forwarder.record_activity(endpoint)
                     await self._send_events(attempt, response, data)
+                    if self._splitter.is_event_too_long:
+                        return self._connection_lost(
+                            endpoint, "sent an event that exceeds the size limit"
+                        )
                 case ResponseEnd():
                     return self._finish_stream(endpoint, response)
                 case ConnectionLost(kind, detail):
--- a/tests/entry/test_malformed_input.py
+++ b/tests/entry/test_malformed_input.py
@@ -7,7 +7,12 @@
 from random import Random
 
 from tests.entry.entry_site import API_KEY, CALLER_PORT
-from tests.standins.scripted_endpoint import plain_response, sse_event, stream_response
+from tests.standins.scripted_endpoint import (
+    plain_response,
+    sse_event,
+    stream_response,
+    unframed_stream,
+)
 
 SEED = 41
 CASES = 60
@@ -138,12 +143,13 @@
 
 
 async def test_endless_responses_are_aborted(site, daemon_address):
-    """Endless heads and bodies are aborted rather than held in memory."""
+    """Endless heads, bodies and events are aborted rather than held in memory."""
     piece = b"a" * 1_000_000
     head = plain_response()[0].split(b"Content-Length")[0]
     endless = {
         "/plain/head": [head + b"X-Long: ", *[piece] * 60],
         "/plain/body": [head + b"Connection: close\r\n\r\n", *[piece] * 60],
+        "/draft/event": [*unframed_stream(b"data: ")[:-1], *[piece] * 60],
     }
     for endpoint in site.endpoints.values():
         endpoint.scripts_by_path.update(endless)
@@ -153,6 +159,6 @@
             await site.send_request(daemon_address, path, f"r{path}")
             for path in endless
         ]
-        assert [response.status for response in responses] == [502, 502]
+        assert [response.status for response in responses] == [502, 502, 502]
 
     await check_valid_requests_during(site, daemon_address, send_all())
