--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -14,7 +14,7 @@
     r"|instance-id|weight-versions|length-hint|request-priority)"
     r"|\bkv-(from|fetch|txn|watch|range|move|key|keep|lease|events|list|handle|pin)"
     r"|op/config|\bservers/|weighted_backends|api_keys|route_type|spot_price"
-    r"|desired_count|window_id|expected_rev\b|server-limit",
+    r"|desired_count|window_id|expected_rev\b|server-(limit|brittle)",
     re.IGNORECASE,
 )
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -12,6 +12,10 @@
     return decode_response_head(ResponseHead(200, headers)).rate_limit
 
 
+def tolerated_rejections_of(*headers):
+    return decode_response_head(ResponseHead(200, headers)).tolerated_rejections
+
+
 @pytest.mark.parametrize(
     ("value", "rate"), [(b"1", 1.0), (b"1.1", 1.1), (b" 0.25 ", 0.25), (b"0", 0.0)]
 )
@@ -26,3 +30,14 @@
 @pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf", b"1;2"])
 def test_unreadable_limit_counts_as_zero(value):
     assert rate_limit_of((b"server-limit", value)) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("value", "tolerated"), [(b"3", 3.0), (b"0", 0.0), (b"few", 0.0), (b"-2", 0.0)]
+)
+def test_tolerated_rejections_are_a_number_or_zero_if_unreadable(value, tolerated):
+    assert tolerated_rejections_of((b"server-brittle", value)) == tolerated
+
+
+def test_response_without_the_header_tolerates_any_rejections():
+    assert tolerated_rejections_of() is None
