Call the store less at the start of hosts and while they are idle

Each host renewed a registration every 3 s; all hosts that started together contended for the duties with four calls each, read the list of hosts twice and the stored streams once, and the later ones read the configuration again before they knew a peer.

A registration now lasts 60 s, as gossip tells who is alive. A host without peers pings ten times a second, not twice.

A new holder stores its ledger at its first poll.

--- a/src/amaranthhollow/decisions/duties.py
+++ b/src/amaranthhollow/decisions/duties.py
@@ -20,8 +20,8 @@
 
 # A call must reach its target before the lease expires.
 CALL_MARGIN_SECONDS = 0.2
-# Delay between the attempts of hosts of successive ranks, so that each can observe the
-# write of the one before.
+# Delay between the attempts of hosts of successive ranks, besides the time that a write
+# takes to become known to all, so that each can observe the write of the one before.
 CONTEND_STEP_SECONDS = 0.25
 
 
@@ -42,6 +42,7 @@
 class DutyState:
     """One host's view of the duty lease, whether or not it holds it.
 
+    While no holder is known, hosts contend from ``starts_at`` on, by rank.
     ``token_at_restore`` is the fencing token that this host held when it saw that the
     store had been restored, so that no other host has carried out the duties since; 0
     if it held none.
@@ -52,6 +53,7 @@
     observed_holder: ObservedHolder | None = None
     contends_at: float = 0.0
     token_at_restore: int = 0
+    starts_at: float = 0.0
 
     def acquired(self, fencing_token: int, requested_at: float) -> DutyState:
         """Return the state after the lease was granted."""
@@ -124,11 +126,24 @@
             return False
         return now + call_seconds + CALL_MARGIN_SECONDS < self.held_lease.expires_at
 
-    def should_contend(self, rank: int, now: float) -> bool:
+    def should_contend(
+        self, rank: int, now: float, spread_seconds: float = 0.0
+    ) -> bool:
         """Return whether the host with this rank should request the lease now."""
-        if self.held_lease is not None or now < self.contends_at:
-            return False
+        return self.held_lease is None and now >= self.contention_time(
+            rank, spread_seconds
+        )
+
+    def contention_time(self, rank: int, spread_seconds: float = 0.0) -> float:
+        """Return when the host with this rank requests the lease, if it is not renewed.
+
+        Hosts of successive ranks follow each other. What one of them writes reaches all
+        others within ``spread_seconds``.
+        """
+        step = CONTEND_STEP_SECONDS + spread_seconds
         expires_at = (
-            self.observed_holder.expires_at if self.observed_holder is not None else 0.0
+            self.starts_at
+            if self.observed_holder is None
+            else self.observed_holder.expires_at
         )
-        return now >= expires_at + rank * CONTEND_STEP_SECONDS
+        return max(self.contends_at, expires_at + rank * step)
--- a/src/amaranthhollow/decisions/reports.py
+++ b/src/amaranthhollow/decisions/reports.py
@@ -114,14 +114,16 @@
 def exchange_pace(peer_count: int) -> ExchangePace:
     """Return the pace of a host with ``peer_count`` peers, which bounds its traffic.
 
-    Up to 9 peers are each asked twice a second. From 29 on a host asks ten peers
-    a second in all, and each publishes up to five times a second less often.
+    Up to 9 peers are each asked at least twice a second. From 29 on a host asks ten
+    peers a second in all, and publishes less often the more there are.
     """
     direct_interval = MAX_DIRECT_INTERVAL_SECONDS / max(1, peer_count)
     relayed_interval = MAX_PING_INTERVAL_SECONDS * min(
         1.0, peer_count / PEERS_AT_MAX_PING_INTERVAL
     )
-    ping_interval = max(direct_interval, relayed_interval)
+    ping_interval = min(
+        max(direct_interval, relayed_interval), MAX_PING_INTERVAL_SECONDS
+    )
     return ExchangePace(
         ping_interval,
         max(MIN_PUBLISH_INTERVAL_SECONDS, peer_count / REPORTS_PER_SECOND),
--- a/src/amaranthhollow/entry/duty_lease.py
+++ b/src/amaranthhollow/entry/duty_lease.py
@@ -20,7 +20,7 @@
 
 HOLDER_KEY = f"{SYSTEM_KEY_PREFIX}duties/holder"
 POLL_INTERVAL_SECONDS = 0.1
-STANDBY_POLL_INTERVAL_SECONDS = 0.25
+MAX_STANDBY_POLL_INTERVAL_SECONDS = 0.25
 # Leaves time for another renewal if one is lost.
 RENEWALS_PER_LEASE = 3
 CALL_TIMEOUT_SECONDS = 0.8
@@ -55,10 +55,17 @@
         """Contend and renew until cancelled."""
         while True:
             await self._update()
-            is_holder = self._host.duty.held_lease is not None
-            await asyncio.sleep(
-                POLL_INTERVAL_SECONDS if is_holder else STANDBY_POLL_INTERVAL_SECONDS
-            )
+            await asyncio.sleep(self._poll_interval())
+
+    def _poll_interval(self) -> float:
+        """Return the seconds until the next update, which the next contention ends."""
+        host = self._host
+        if host.duty.held_lease is not None:
+            return POLL_INTERVAL_SECONDS
+        seconds = host.duty.contention_time(host.rank, host.spread_seconds) - now()
+        return min(
+            max(seconds, POLL_INTERVAL_SECONDS), MAX_STANDBY_POLL_INTERVAL_SECONDS
+        )
 
     async def _update(self) -> None:
         host, instant = self._host, now()
@@ -70,7 +77,7 @@
         if host.duty.held_lease is not None:
             if instant >= self._renew_at:
                 await self._renew()
-        elif host.duty.should_contend(host.rank, instant):
+        elif host.duty.should_contend(host.rank, instant, host.spread_seconds):
             await self._contend()
 
     async def _release(self) -> None:
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -58,6 +58,8 @@
 
 # Allows for the time to read a request before its key is checked.
 KEY_AGE_MARGIN_SECONDS = 0.5
+# By then a host has heard of its peers, and of the one that holds the duties.
+DUTY_DELAY_SECONDS = 0.75
 MAINTENANCE_INTERVAL_SECONDS = 0.5
 # The load balancer checks readiness once a second and removes a host after two failed
 # checks.
@@ -262,7 +264,7 @@
         store=StoreClient(HttpClient(*_split_address(settings.store)), count_call),
         metrics=metrics,
         random=random,
-        duty=DutyState(bounds.lease_ms / 1000),
+        duty=DutyState(bounds.lease_ms / 1000, starts_at=now() + DUTY_DELAY_SECONDS),
         quotas=QuotaLimiter(
             QuotaTolerance(bounds.quota_over, bounds.quota_slack),
             restarted_at=None if settings.is_first_start else now(),
--- a/src/amaranthhollow/entry/site_sync.py
+++ b/src/amaranthhollow/entry/site_sync.py
@@ -38,10 +38,13 @@
 # is cancelled, and the next one starts.
 CALL_TIMEOUT_SECONDS = 0.8
 HOSTS_PREFIX = f"{SYSTEM_KEY_PREFIX}hosts/"
-REGISTRATION_LEASE_SECONDS = 10.0
-RENEWAL_INTERVAL_SECONDS = 3.0
+# A registration tells new hosts whom to ask. Gossip tells who is alive, so the entry of
+# a host that is gone costs a new one only a few pings.
+REGISTRATION_LEASE_SECONDS = 60.0
+RENEWAL_INTERVAL_SECONDS = 20.0
 REGISTRATION_POLL_SECONDS = 0.5
-# The second read of the list finds hosts that started at the same time.
+# A host that has found nobody reads the list again: it was the first to start, or all
+# that it found are gone.
 LIST_INTERVAL_SECONDS = 2.0
 
 log = logbook.Logger("store")
@@ -131,7 +134,7 @@
         self._lease: Lease | None = None
         self._next_renewal_at = 0.0
         self._next_list_at = 0.0
-        self._remaining_lists = 2
+        self._has_list = False
 
     async def run(self) -> None:
         """Register, renew and list until cancelled."""
@@ -170,12 +173,12 @@
 
     async def _list_if_due(self) -> None:
         has_no_peers = not self._host.reachable_hosts
-        if now() < self._next_list_at or not (self._remaining_lists or has_no_peers):
+        if now() < self._next_list_at or not (has_no_peers or not self._has_list):
             return
         listed = await self._host.store.list(HOSTS_PREFIX, CALL_TIMEOUT_SECONDS)
         if isinstance(listed, Err):
             return
-        self._remaining_lists = max(0, self._remaining_lists - 1)
+        self._has_list = True
         self._next_list_at = now() + LIST_INTERVAL_SECONDS
         for item in listed.ok_value.items:
             self._add_listed_host(item.key.removeprefix(HOSTS_PREFIX), item.value)
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -80,7 +80,8 @@
                 continue
             if self._fencing_token != held_lease.fencing_token:
                 await self._load_ledger(held_lease.fencing_token)
-                continue
+                if self._fencing_token != held_lease.fencing_token:
+                    continue
             for window in self._due_windows():
                 await self._report_window(window, held_lease.fencing_token)
             if now() >= self._next_save_at and self._fencing_token and self._may_call():
--- a/tests/decisions/test_duties.py
+++ b/tests/decisions/test_duties.py
@@ -160,6 +160,20 @@
 )
 
 
+def test_hosts_that_start_together_contend_one_after_the_other():
+    states = [DutyState(LEASE_SECONDS, starts_at=10.0) for _ in range(3)]
+    contending = [
+        [state.should_contend(rank, now) for rank, state in enumerate(states)]
+        for now in (9.9, 10.1, 10.3)
+    ]
+
+    assert contending == [
+        [False, False, False],
+        [True, False, False],
+        [True, True, False],
+    ]
+
+
 def test_nobody_contends_before_the_lost_leases_have_expired():
     holder = DutyState(LEASE_SECONDS).acquired(5, 10.0).store_restored(11.0)
     other = DutyState(LEASE_SECONDS).store_restored(11.0)
--- /dev/null
+++ b/tests/entry/test_store_calls.py
@@ -0,0 +1,91 @@
+"""Calls of the store by hosts that start together, and by idle ones.
+
+All calls are billed and share the limits of the store, so what a host calls for at its
+start or in each second is multiplied by the number of hosts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+
+HOSTS = 6
+# The duties are renewed twice a second here, and their state is stored once a second.
+DUTY_RENEWALS_PER_SECOND = 2.5
+CALM_SECONDS = 5.0
+SETTLE_SECONDS = 4.0
+
+
+async def start_hosts(site, count=HOSTS):
+    """Start hosts at once, and wait until they know each other."""
+    addresses = [site.start_daemon(f"host-{n}", 21 + n) for n in range(count)]
+    await asyncio.gather(*(site.wait_ready(address) for address in addresses))
+    await asyncio.sleep(SETTLE_SECONDS)
+    return addresses
+
+
+# Every host of a site that started contended for the duties, with four calls each.
+async def test_one_of_the_hosts_that_start_together_contends_for_the_duties(site):
+    await site.add_endpoint("e1", 11)
+    await start_hosts(site)
+
+    calls = site.store.calls_by_kind
+    assert HOSTS < calls["kv-lease"] <= HOSTS + 1
+    assert calls["kv-lease-end"] == 0
+
+
+async def test_hosts_that_start_together_call_the_store_a_few_times_each(site):
+    await site.add_endpoint("e1", 11)
+    await start_hosts(site)
+
+    # Grant and registration, the list of hosts, the quota levels, and two first reads
+    # of configuration and endpoints before any peer is known; then one host reads.
+    first_seconds_of_reader = 2 * SETTLE_SECONDS / 0.6
+    of_the_duties = (DUTY_RENEWALS_PER_SECOND + 2) * SETTLE_SECONDS
+    calls = sum(site.store.calls_by_kind.values())
+    assert calls <= 8 * HOSTS + first_seconds_of_reader + of_the_duties
+
+
+# Each host renewed its registration every 3 s, although gossip tells who is alive.
+async def test_registrations_are_renewed_rarely(site):
+    await site.add_endpoint("e1", 11)
+    await start_hosts(site)
+    before = site.store.calls_by_kind["kv-keep"]
+    await asyncio.sleep(CALM_SECONDS)
+    renewals = site.store.calls_by_kind["kv-keep"] - before
+
+    assert renewals <= DUTY_RENEWALS_PER_SECOND * CALM_SECONDS + 2
+
+
+async def test_new_host_finds_the_others_beside_the_entries_of_lost_ones(site):
+    await site.add_endpoint("e1", 11)
+    await start_hosts(site, 4)
+    for number in (0, 1):
+        os.kill(site.processes[f"host-{number}"].pid, signal.SIGKILL)
+    address = site.start_daemon("host-9", 31)
+    await site.wait_ready(address)
+    await asyncio.sleep(2.5)
+
+    assert "amaranthhollow/hosts/host-0" in site.store.items
+    changes = [
+        line
+        for line in site.read_log("host-9").splitlines()
+        if "reachable hosts changed" in line
+    ]
+    assert '"reachable":2' in changes[-1]
+
+
+async def test_hosts_find_each_other_again_after_the_loss_of_all(site):
+    await site.add_endpoint("e1", 11)
+    await start_hosts(site, 3)
+    for process in site.processes.values():
+        process.kill()
+    addresses = [site.start_daemon(f"host-{n}", 21 + n) for n in range(3)]
+    await asyncio.gather(*(site.wait_ready(address) for address in addresses))
+    await asyncio.sleep(2.0)
+
+    for number in range(3):
+        lines = site.read_log(f"host-{number}").splitlines()
+        changes = [line for line in lines if "reachable hosts changed" in line]
+        assert '"reachable":2' in changes[-1]
