Send nothing to endpoints that say that they leave or rest

A host that was cut off from the store, or read the list late, went on sending to an endpoint that had said in its answers that it leaves, and a 503 with a time was one more failed attempt after which the endpoint was tried again.

Both headers are decoded once, in platform/. First attempts, retries and resumptions leave both out. While all endpoints of a service rest, a request is refused at once as not run, with the time of the first that is back. Fields of unsigned answers count: to believe one costs a share of work, not to believe it costs requests. Times that are no positive number say nothing.

Of the tests, those of leaving endpoints, of rests and of the refusal failed on the code before.

--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -16,6 +16,7 @@
     from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.entry.brittle_limits import BrittleLimits
     from amaranthhollow.entry.endpoint_limits import EndpointLimits
+    from amaranthhollow.entry.endpoint_statements import StatementLimits
     from amaranthhollow.entry.host import Host
     from amaranthhollow.entry.stream_origins import StreamOrigins
     from amaranthhollow.serving.admission import Admission
@@ -38,7 +39,11 @@
 
 
 def forwarding_callbacks(
-    host: Host, limits: EndpointLimits, brittle: BrittleLimits, origins: StreamOrigins
+    host: Host,
+    limits: EndpointLimits,
+    brittle: BrittleLimits,
+    statements: StatementLimits,
+    origins: StreamOrigins,
 ) -> ForwardingCallbacks:
     """Return the callbacks that connect the forwarder to the rest of the host."""
 
@@ -69,9 +74,14 @@
     ) -> None:
         limits.observe_response(endpoint, response, sent_at)
         brittle.observe_response(endpoint, response, sent_at)
+        statements.observe_response(endpoint, response)
 
     def may_send(endpoint: Endpoint) -> bool:
-        return limits.may_send(endpoint) and brittle.may_send(endpoint)
+        return (
+            statements.may_send(endpoint)
+            and limits.may_send(endpoint)
+            and brittle.may_send(endpoint)
+        )
 
     def notify_sending(endpoint: Endpoint) -> None:
         limits.record_sent(endpoint)
@@ -86,6 +96,7 @@
         notify_response_head=notify_response_head,
         may_send=may_send,
         notify_sending=notify_sending,
+        rest_seconds=statements.rest_seconds,
         notify_stream_started=origins.record_started,
         find_stream_version=origins.find_version,
         random=host.random.random,
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -21,6 +21,7 @@
 from amaranthhollow.entry.crash_detector import CrashDetector
 from amaranthhollow.entry.duty_lease import DutyLease
 from amaranthhollow.entry.endpoint_limits import EndpointLimits
+from amaranthhollow.entry.endpoint_statements import StatementLimits
 from amaranthhollow.entry.host import Host
 from amaranthhollow.entry.link_probe import LinkProbe
 from amaranthhollow.entry.metrics import CONTENT_TYPE, Metrics
@@ -89,7 +90,8 @@
         self.brittle = brittle = BrittleLimits(host)
         documents = PeerDocuments(host)
         self.peering = Peering(host, documents)
-        for consumer in (host.crash_detector, limits, brittle):
+        self.statements = statements = StatementLimits(host)
+        for consumer in (host.crash_detector, limits, brittle, statements):
             self.peering.register(consumer)
         self._origins = StreamOrigins(host, self.peering)
         self._forwarder = Forwarder(
@@ -97,7 +99,7 @@
             self._pool,
             host.chooser,
             codec,
-            forwarding_callbacks(host, limits, brittle, self._origins),
+            forwarding_callbacks(host, limits, brittle, statements, self._origins),
         )
         self._max_key_age_seconds = (
             settings.bounds.key_removal_ms / 1000 - KEY_AGE_MARGIN_SECONDS
@@ -198,6 +200,7 @@
             self.host.chooser.retain({endpoint.host for endpoint in listed})
             self.limits.forget_unlisted()
             self.brittle.forget_unlisted()
+            self.statements.update()
             self._origins.update()
             instant = now()
             metrics.configuration_age.value = site.configuration_freshness.age(instant)
--- a/src/amaranthhollow/platform/endpoints.py
+++ b/src/amaranthhollow/platform/endpoints.py
@@ -21,6 +21,7 @@
 __all__ = ["decode_response_head", "encode_dispatch", "expected_echo"]
 
 MISDIRECTED_REQUEST = 421
+UNAVAILABLE = 503
 # An endpoint closes a connection after the idle time that it announced. A request
 # that is sent within the last second of it may arrive after the close.
 IDLE_MARGIN_SECONDS = 1.0
@@ -68,6 +69,8 @@
         tolerated_rejections=_stated_rate(
             find_header(headers, names.TOLERATED_REJECTIONS)
         ),
+        is_leaving=(find_header(headers, names.LEAVING) or b"").strip() == b"1",
+        rest_seconds=_rest_seconds(head),
     )
 
 
@@ -82,6 +85,19 @@
     return rate if rate is not None and isfinite(rate) and rate >= 0 else 0.0
 
 
+def _rest_seconds(head: ResponseHead) -> float | None:
+    """Return for how long an endpoint wants no more requests, or None if it may.
+
+    Of several times the longest counts; one that cannot be read says nothing.
+    """
+    if head.status != UNAVAILABLE:
+        return None
+    values = [value for name, value in head.headers if name == names.RETRY_AFTER]
+    times = [_parse_decimal(value.strip()) for value in values]
+    readable = [t for t in times if t is not None and isfinite(t) and t > 0]
+    return max(readable, default=None)
+
+
 def _idle_seconds(value: bytes | None) -> float | None:
     """Return how long a connection may stay idle, or None if this is not announced.
 
--- a/src/amaranthhollow/platform/names.py
+++ b/src/amaranthhollow/platform/names.py
@@ -32,6 +32,8 @@
 KEEP_ALIVE = b"keep-alive"
 RATE_LIMIT = b"server-limit"
 TOLERATED_REJECTIONS = b"server-brittle"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 EVENT_STREAM = b"text/event-stream"
 
 # Rises by one whenever the store has returned from an older copy of itself.
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -51,7 +51,8 @@
     whether a request must not be sent again. ``notify_response_head`` gets each
     response of an endpoint, and the time at which the request was sent. ``may_send``
     returns whether an endpoint's own limit allows a request now, and
-    ``notify_sending`` gets the endpoint of each attempt. ``notify_stream_started`` gets
+    ``notify_sending`` gets the endpoint of each attempt. ``rest_seconds`` returns for
+    how long all endpoints of a service want no request. ``notify_stream_started`` gets
     the software version of the endpoint whose events are about to be relayed, and
     ``find_stream_version`` returns the one that began the stream which a request takes
     up again, or None if that cannot be known. ``random`` returns a number from 0 to 1.
@@ -67,6 +68,7 @@
     notify_response_head: Callable[[Endpoint, ResponseInfo, float], None]
     may_send: Callable[[Endpoint], bool]
     notify_sending: Callable[[Endpoint], None]
+    rest_seconds: Callable[[str], float]
     notify_stream_started: Callable[[CallerRequest, Admitted, str], None]
     find_stream_version: Callable[[CallerRequest, Admitted], Awaitable[str | None]]
     random: Callable[[], float]
--- a/src/amaranthhollow/serving/request.py
+++ b/src/amaranthhollow/serving/request.py
@@ -67,7 +67,9 @@
     ``idle_timeout_seconds`` is how long it keeps an idle connection, if it states so.
     ``rate_limit`` is the number of requests per second that it accepts from all hosts
     together, or None if it states no limit. ``tolerated_rejections`` is the number of
-    requests that it can reject in a second without a failure, or None if any.
+    requests that it can reject in a second without a failure, or None if any. An
+    endpoint that ``is_leaving`` ends soon; one that states ``rest_seconds`` wants no
+    request of this host for so long.
     """
 
     head: ResponseHead
@@ -78,3 +80,5 @@
     idle_timeout_seconds: float | None = None
     rate_limit: float | None = None
     tolerated_rejections: float | None = None
+    is_leaving: bool = False
+    rest_seconds: float | None = None
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -429,7 +429,9 @@
             exchange.abort()
             return
         if not self._may_have_run:
-            delay = BUSY_RETRY_SECONDS * (1 + self._forwarder.callbacks.random())
+            callbacks = self._forwarder.callbacks
+            delay = BUSY_RETRY_SECONDS * (1 + callbacks.random())
+            delay += callbacks.rest_seconds(self._admitted.service)
             retry_after = (b"retry-after", f"{delay:.2f}".encode())
             exchange.respond(UNAVAILABLE, [retry_after], b"")
             return
--- a/tests/entry/test_fact_consumers.py
+++ b/tests/entry/test_fact_consumers.py
@@ -15,6 +15,8 @@
     ENDPOINT_LIMIT_FACT,
     EndpointLimiter,
 )
+from amaranthhollow.decisions.endpoint_statements import LEAVING_FACT
+from amaranthhollow.decisions.endpoints import Endpoint, ListedEndpoint
 from amaranthhollow.decisions.gossip import Fact, GossipMessage, Version
 from amaranthhollow.decisions.prompt_quarantine import (
     PART_CRASH_FACT,
@@ -129,6 +131,13 @@
     assert not daemon.host.crash_detector._prompts._crashes_by_part
 
 
+def test_leaving_endpoint_gets_nothing_of_a_host_that_only_its_peer_told(daemon):
+    tell(daemon, Fact(LEAVING_FACT, ENDPOINT_ID, Version(1), b""))
+    listed = ListedEndpoint(ENDPOINT_ID, 1, "127.0.0.3", 9, "dc-1", "model")
+
+    assert not daemon.statements.may_send(Endpoint(listed, "live"))
+
+
 def test_every_kind_of_fact_has_one_consumer(daemon):
     """A kind that is missing above would have no test, and one below no consumer."""
     assert set(daemon.peering._consumers_by_kind) == {
@@ -136,6 +145,7 @@
         CLEARED_FACT,
         CRASH_FACT,
         ENDPOINT_LIMIT_FACT,
+        LEAVING_FACT,
         PART_CRASH_FACT,
         PART_SUCCESS_FACT,
     }
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -41,3 +41,34 @@
 
 def test_response_without_the_header_tolerates_any_rejections():
     assert tolerated_rejections_of() is None
+
+
+def rest_seconds_of(status, *values):
+    headers = tuple((b"retry-after", value) for value in values)
+    return decode_response_head(ResponseHead(status, headers)).rest_seconds
+
+
+@pytest.mark.parametrize(
+    ("values", "seconds"),
+    [((b"2",), 2.0), ((b" 0.05 ",), 0.05), ((b"1", b"60"), 60.0), ((b"x", b"3"), 3.0)],
+)
+def test_rejection_with_a_time_states_a_rest(values, seconds):
+    assert rest_seconds_of(503, *values) == seconds
+
+
+@pytest.mark.parametrize("value", [b"0", b"-3", b"nan", b"inf", b"soon", b"", b"-inf"])
+def test_time_that_is_none_states_no_rest(value):
+    assert rest_seconds_of(503, value) is None
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_503_states_a_rest(status):
+    assert rest_seconds_of(status, b"2") is None
+
+
+@pytest.mark.parametrize(
+    ("value", "is_leaving"), [(b"1", True), (b" 1 ", True), (b"0", False), (b"", False)]
+)
+def test_leaving_is_stated_by_a_one(value, is_leaving):
+    head = ResponseHead(200, ((b"server-leaving", value),))
+    assert decode_response_head(head).is_leaving is is_leaving
--- a/tests/standins/scripted_endpoint.py
+++ b/tests/standins/scripted_endpoint.py
@@ -43,7 +43,8 @@
 class ScriptedEndpoint:
     """Responds by the script of the path, else the next queued or the default one.
 
-    While ``rate_limit`` is set, every response states it as the limit for all hosts.
+    While ``rate_limit`` is set, every response states it as the limit for all hosts,
+    and while ``is_leaving``, that the endpoint leaves.
     """
 
     endpoint_id: str
@@ -54,6 +55,7 @@
     connection_count: int = 0
     lost_connections: int = 0
     rate_limit: float | None = None
+    is_leaving: bool = False
     server: asyncio.Server | None = None
 
     async def start(self, address: str, port: int) -> asyncio.Server:
@@ -115,7 +117,10 @@
         data = step.replace(b"$ID", arrival.request_id.encode())
         if self.rate_limit is not None and data.startswith(b"HTTP/1.1 "):
             line, _, rest = data.partition(b"\r\n")
-            return b"%s\r\nServer-Limit: %g\r\n%s" % (line, self.rate_limit, rest)
+            data = b"%s\r\nServer-Limit: %g\r\n%s" % (line, self.rate_limit, rest)
+        if self.is_leaving and data.startswith(b"HTTP/1.1 "):
+            line, _, rest = data.partition(b"\r\n")
+            data = b"%s\r\nServer-Leaving: 1\r\n%s" % (line, rest)
         return data
 
 
