Let hosts contend for the duties by rank again after a failed attempt

A host now reads first whether somebody holds the lease, one call, and after a failed or lost attempt waits until the hosts of lower ranks have had theirs.

--- a/src/amaranthhollow/decisions/duties.py
+++ b/src/amaranthhollow/decisions/duties.py
@@ -69,11 +69,15 @@
         expires_at = requested_at + self.lease_seconds
         return replace(self, held_lease=replace(self.held_lease, expires_at=expires_at))
 
-    def lost(self, now: float) -> DutyState:
-        """Return the state after the lease ended or another host has it."""
+    def lost(self, now: float, rank: int = 0, spread_seconds: float = 0.0) -> DutyState:
+        """Return the state after the lease ended or another host has it.
+
+        After a failed attempt, hosts of successive ranks follow each other again.
+        """
         backoff = (
             self.lease_seconds if self.held_lease is not None else CONTEND_STEP_SECONDS
         )
+        backoff += rank * (CONTEND_STEP_SECONDS + spread_seconds)
         contends_at = max(self.contends_at, now + backoff + CALL_MARGIN_SECONDS)
         return replace(self, held_lease=None, contends_at=contends_at)
 
--- a/src/amaranthhollow/entry/duty_lease.py
+++ b/src/amaranthhollow/entry/duty_lease.py
@@ -102,10 +102,14 @@
             self._mark_lost("expired")
 
     async def _contend(self) -> None:
-        host, requested_at = self._host, now()
+        host = self._host
+        if not await self._is_vacant():
+            self._wait_for_others()
+            return
+        requested_at = now()
         granted = await host.store.grant(host.duty.lease_seconds, CALL_TIMEOUT_SECONDS)
         if isinstance(granted, Err):
-            host.duty = host.duty.lost(now())
+            self._wait_for_others()
             return
         lease = granted.ok_value
         key = holder_key(lease.era)
@@ -114,8 +118,8 @@
         if isinstance(created, Err) or created.ok_value is None:
             # Ending the lease also reverts a write whose response was lost.
             await host.store.end(lease, CALL_TIMEOUT_SECONDS)
-            host.duty = host.duty.lost(now())
-            await self._read_holder()
+            self._wait_for_others()
+            await self._is_vacant()
             return
         self._lease = lease
         self._renew_at = requested_at + host.duty.lease_seconds / RENEWALS_PER_LEASE
@@ -123,14 +127,24 @@
         host.duty = host.duty.acquired(fencing_token, requested_at)
         log.info("duties acquired", extra={"fencing_token": fencing_token})
 
-    async def _read_holder(self) -> None:
-        """Read the holder of the lease, so as not to contend until it expires."""
+    def _wait_for_others(self) -> None:
+        """Contend again after the hosts of lower ranks have had the time to do so."""
+        host = self._host
+        host.duty = host.duty.lost(now(), host.rank, host.spread_seconds)
+
+    async def _is_vacant(self) -> bool:
+        """Return whether nobody holds the lease; observe the holder if there is one.
+
+        One read tells it, where a lost contention takes four calls.
+        """
         host = self._host
         key = holder_key(host.store.era)
         found = await host.store.get(key, CALL_TIMEOUT_SECONDS)
-        if isinstance(found, Err) or found.ok_value is None:
-            return
+        if isinstance(found, Err):
+            return False
         item = found.ok_value
+        if item is None:
+            return True
         holder = item.value.decode("utf-8", "replace")
         if holder != host.name:
             expires_at = now() + host.duty.lease_seconds
@@ -138,6 +152,7 @@
                 holder, item.created_at.fencing_token, expires_at
             )
             host.duty = host.duty.observe_holder(observed_holder)
+        return False
 
     def _mark_lost(self, reason: str) -> None:
         log.warning("duties lost", extra={"reason": reason})
