Watch the configuration instead of reading it as a whole

Reads of all hosts failed from second 27.9 on, three seconds before the outage of the store, and every read of the first host carried the whole document, twice a second.

Each host reads the configuration once, within 2 s, and then watches it from that position: the answer to an unchanged one is empty, and the first host hears of a change at once. It waits for 0.5 s only while the last confirmation is recent, since an empty answer proves the state at its end. Without history or in a new era it reads again. Configuration and endpoints are read apart, so that neither delays the other, and peers send documents compressed.

Ruled out: the outage itself, which began later; the link of the store.

--- a/src/amaranthhollow/entry/peer_documents.py
+++ b/src/amaranthhollow/entry/peer_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from typing import TYPE_CHECKING
 
 import logbook
@@ -21,8 +22,11 @@
 
 CONFIGURATION_TARGET = b"/configuration"
 ENDPOINTS_TARGET = b"/endpoints"
-# Time to transfer a document of 1 MB several times over a link of 100 Mbit/s.
-FETCH_TIMEOUT_SECONDS = 0.7
+# Time to transfer a compressed document several times over a link of 5 Mbit/s.
+FETCH_TIMEOUT_SECONDS = 1.2
+COMPRESSION_LEVEL = 1
+# Several times the largest value of the store.
+MAX_DOCUMENT_BYTES = 8 << 20
 OK = 200
 NOT_FOUND = 404
 
@@ -39,6 +43,7 @@
         self._clients_by_address: dict[str, HttpClient] = {}
         self._targets_in_flight: set[bytes] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._compressed_configuration = (b"", b"")
 
     def fetch(self, peer: str, target: bytes, confirmed_at: float | None) -> None:
         """Fetch a document that ``peer`` confirmed as newest at ``confirmed_at``."""
@@ -55,9 +60,10 @@
         """Respond to a peer's request for a document."""
         site, target = self._host.site, exchange.head.path
         if target == CONFIGURATION_TARGET and site.configuration is not None:
-            exchange.respond(OK, [], site.configuration_value)
+            exchange.respond(OK, [], self._compress_configuration())
         elif target == ENDPOINTS_TARGET:
-            exchange.respond(OK, [], msgspec.msgpack.encode(site.snapshot))
+            encoded = msgspec.msgpack.encode(site.snapshot)
+            exchange.respond(OK, [], zlib.compress(encoded, COMPRESSION_LEVEL))
         else:
             exchange.respond(NOT_FOUND, [], b"")
 
@@ -72,10 +78,21 @@
         self._targets_in_flight.discard(target)
         if isinstance(response, Err) or response.ok_value.status != OK:
             return
-        if target == CONFIGURATION_TARGET:
-            self._host.site.apply_configuration(response.ok_value.body, confirmed_at)
+        body = _decompress(response.ok_value.body)
+        if body is None:
+            log.warning("peer's document unreadable", extra={"peer": address})
+        elif target == CONFIGURATION_TARGET:
+            self._host.site.apply_configuration(body, confirmed_at)
         else:
-            self._apply_endpoints(response.ok_value.body, confirmed_at)
+            self._apply_endpoints(body, confirmed_at)
+
+    def _compress_configuration(self) -> bytes:
+        """Return the configuration, which is compressed once for all peers."""
+        value = self._host.site.configuration_value
+        if self._compressed_configuration[0] is not value:
+            compressed = zlib.compress(value, COMPRESSION_LEVEL)
+            self._compressed_configuration = (value, compressed)
+        return self._compressed_configuration[1]
 
     def _apply_endpoints(self, body: bytes, confirmed_at: float) -> None:
         try:
@@ -84,3 +101,13 @@
             log.warning("peer's endpoints unreadable", extra={"error": str(error)})
             return
         self._host.site.apply_endpoints(snapshot, confirmed_at, now())
+
+
+def _decompress(data: bytes) -> bytes | None:
+    """Return the decompressed bytes, or None if they are none or too many."""
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
+    except zlib.error:
+        return None
+    return body if decompressor.eof else None
--- a/src/amaranthhollow/entry/site_sync.py
+++ b/src/amaranthhollow/entry/site_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import logbook
@@ -11,6 +12,7 @@
 
 from amaranthhollow.decisions.freshness import (
     READ_INTERVAL_SECONDS,
+    Freshness,
     seconds_until_read,
     seconds_until_retry,
 )
@@ -25,19 +27,27 @@
 from amaranthhollow.state.site_state import EndpointSnapshot, StoredEntry
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from amaranthhollow.decisions.store_position import StorePosition
     from amaranthhollow.entry.host import Host
-    from amaranthhollow.platform.store import Lease, Snapshot
+    from amaranthhollow.platform.store import Lease, Snapshot, StoredItem
 
 __all__ = ["HostRegistration", "SiteSync"]
 
 MIN_POLL_INTERVAL_SECONDS = 0.05
 MAX_POLL_INTERVAL_SECONDS = 0.2
-# A poll interval and a read that times out take half of this, so a longer pause means
-# that the process was frozen.
+# Several poll intervals; a longer pause means that the process was frozen.
 FREEZE_THRESHOLD_SECONDS = 1.7
 # A slow store responds within 0.25 s. A read that outlasts the interval between reads
 # is cancelled, and the next one starts.
 CALL_TIMEOUT_SECONDS = 0.8
+# Time to receive a configuration of 1 MB over a link of 5 Mbit/s.
+CONFIGURATION_TIMEOUT_SECONDS = 2.0
+# The first host hears of a change at once, and of none by the time of its next read.
+WATCH_SECONDS = 0.5
+MIN_WATCH_SECONDS = 0.02
+UNKNOWN_VERSION = -2
 HOSTS_PREFIX = f"{SYSTEM_KEY_PREFIX}hosts/"
 # A registration tells new hosts whom to ask. Gossip tells who is alive, so the entry of
 # a host that is gone costs a new one only a few pings.
@@ -51,74 +61,156 @@
 log = logbook.Logger("store")
 
 
+@dataclass(frozen=True)
+class _WatchedConfiguration:
+    """The position up to which the configuration is known, and its version there."""
+
+    position: StorePosition
+    version: int
+
+
+@dataclass
+class _Document:
+    """A document in the store, and the state of this host's reads of it.
+
+    ``read`` gets the time at which it is called, and returns whether the store
+    responded.
+    """
+
+    freshness: Callable[[], Freshness]
+    read: Callable[[float], Awaitable[bool]]
+    next_read_at: float = 0.0
+    failures: int = 0
+    task: asyncio.Task[None] | None = None
+
+
 class SiteSync:
-    """Reads the store when no host has recently done so."""
+    """Reads the store when no host has recently done so.
+
+    The configuration is read once and then watched, since it may be large. The
+    endpoints are read as a whole, because their entries change all the time.
+    """
 
     def __init__(self, host: Host) -> None:
         """Read the store on behalf of ``host``."""
         self._host = host
-        self._failures = 0
-        self._next_read_at = 0.0
+        site = host.site
+        self._documents = (
+            _Document(lambda: site.configuration_freshness, self._read_configuration),
+            _Document(lambda: site.endpoints_freshness, self._read_endpoints),
+        )
+        self._watched: _WatchedConfiguration | None = None
 
     async def run(self) -> None:
         """Read the store whenever a read is due, until cancelled."""
         last_polled_at = now()
-        while True:
-            instant = now()
-            if instant - last_polled_at > FREEZE_THRESHOLD_SECONDS:
-                log.info(
-                    "process was frozen", extra={"seconds": instant - last_polled_at}
-                )
-                self._host.site.process_resumed(instant)
-            last_polled_at = instant
-            self._host.site.tick(instant)
-            if self._seconds_until_due() <= 0.0:
-                await self._read()
-            await asyncio.sleep(self._poll_interval())
+        try:
+            while True:
+                instant = now()
+                if instant - last_polled_at > FREEZE_THRESHOLD_SECONDS:
+                    log.info(
+                        "process was frozen",
+                        extra={"seconds": instant - last_polled_at},
+                    )
+                    self._host.site.process_resumed(instant)
+                last_polled_at = instant
+                self._host.site.tick(instant)
+                for document in self._documents:
+                    if document.task is None and self._seconds_until_due(document) <= 0:
+                        document.task = asyncio.create_task(self._read(document))
+                await asyncio.sleep(self._poll_interval())
+        finally:
+            for document in self._documents:
+                if document.task is not None:
+                    document.task.cancel()
 
     def _poll_interval(self) -> float:
         if self._host.site.has_pending_removals:
             return MIN_POLL_INTERVAL_SECONDS
-        seconds = self._seconds_until_due()
+        seconds = min(self._seconds_until_due(d) for d in self._documents)
         return min(max(seconds, MIN_POLL_INTERVAL_SECONDS), MAX_POLL_INTERVAL_SECONDS)
 
-    def _seconds_until_due(self) -> float:
+    def _seconds_until_due(self, document: _Document) -> float:
         """Return the seconds until this host should read, unless a peer reads first."""
         host, instant = self._host, now()
-        site = host.site
-        confirmations = (site.configuration_freshness, site.endpoints_freshness)
-        oldest = max(confirmations, key=lambda freshness: freshness.age(instant))
-        due_in = seconds_until_read(oldest, host.rank, instant, host.spread_seconds)
-        return max(due_in, self._next_read_at - instant)
+        due_in = seconds_until_read(
+            document.freshness(), host.rank, instant, host.spread_seconds
+        )
+        return max(due_in, document.next_read_at - instant)
 
-    async def _read(self) -> None:
+    async def _read(self, document: _Document) -> None:
         requested_at = now()
-        self._next_read_at = requested_at + READ_INTERVAL_SECONDS
-        results = await asyncio.gather(
-            self._read_configuration(requested_at), self._read_endpoints(requested_at)
-        )
-        succeeded = all(results)
-        if succeeded and self._failures:
-            log.info("store reachable again", extra={"failures": self._failures})
-        if not succeeded and not self._failures:
+        document.next_read_at = requested_at + READ_INTERVAL_SECONDS
+        try:
+            succeeded = await document.read(requested_at)
+        finally:
+            document.task = None
+        if succeeded and document.failures:
+            log.info("store reachable again", extra={"failures": document.failures})
+        if not succeeded and not document.failures:
             log.warning("store unreachable")
-        self._failures = 0 if succeeded else self._failures + 1
+        document.failures = 0 if succeeded else document.failures + 1
         if not succeeded:
-            seconds = seconds_until_retry(self._host.rank, self._failures)
-            self._next_read_at = requested_at + seconds
+            seconds = seconds_until_retry(self._host.rank, document.failures)
+            document.next_read_at = requested_at + seconds
 
     async def _read_configuration(self, requested_at: float) -> bool:
-        host = self._host
-        result = await host.store.get(CONFIGURATION_KEY, CALL_TIMEOUT_SECONDS)
+        watched = self._watched
+        if watched is not None and watched.position.era == self._host.store.era:
+            return await self._watch_configuration(watched, requested_at)
+        found = await self._host.store.get(
+            CONFIGURATION_KEY, CONFIGURATION_TIMEOUT_SECONDS
+        )
+        if isinstance(found, Err):
+            return False
+        if found.ok_value is not None:
+            self._apply_configuration(found.ok_value, requested_at)
+        return True
+
+    async def _watch_configuration(
+        self, watched: _WatchedConfiguration, requested_at: float
+    ) -> bool:
+        """Read what has changed since the last read.
+
+        The first host waits for it, unless the last confirmation is overdue.
+        """
+        age = self._host.site.configuration_freshness.age(requested_at)
+        may_wait = self._host.rank == 0 and age < 2 * READ_INTERVAL_SECONDS
+        wait_seconds = WATCH_SECONDS if may_wait else MIN_WATCH_SECONDS
+        result = await self._host.store.watch(
+            CONFIGURATION_KEY,
+            watched.position,
+            wait_seconds,
+            CONFIGURATION_TIMEOUT_SECONDS,
+        )
         if isinstance(result, Err):
             return False
-        item = result.ok_value
-        if item is not None:
-            is_current = host.site.is_configuration_current(requested_at)
-            confirmed_at = requested_at if is_current else None
-            host.site.apply_configuration(item.value, confirmed_at)
+        changes = result.ok_value
+        if changes is None:
+            self._watched = None
+            return True
+        items = [item for item in changes.items if item.key == CONFIGURATION_KEY]
+        if items:
+            self._apply_configuration(items[-1], requested_at)
+            return True
+        self._watched = replace(watched, position=changes.position)
+        # The store responds without changes once the time is over, and not before.
+        confirmed_at = requested_at
+        if now() >= requested_at + wait_seconds:
+            confirmed_at += wait_seconds
+        if self._host.site.is_configuration_current(requested_at):
+            freshness = Freshness(confirmed_at)
+            self._host.site.confirm_configuration(watched.version, freshness)
         return True
 
+    def _apply_configuration(self, item: StoredItem, requested_at: float) -> None:
+        site = self._host.site
+        is_current = site.is_configuration_current(requested_at)
+        site.apply_configuration(item.value, requested_at if is_current else None)
+        is_applied = site.configuration_value == item.value
+        version = site.version if is_applied else UNKNOWN_VERSION
+        self._watched = _WatchedConfiguration(item.position, version)
+
     async def _read_endpoints(self, requested_at: float) -> bool:
         host = self._host
         result = await host.store.list(ENDPOINT_PREFIX, CALL_TIMEOUT_SECONDS)
--- a/src/amaranthhollow/platform/store.py
+++ b/src/amaranthhollow/platform/store.py
@@ -142,11 +142,16 @@
         return Ok(Snapshot(tuple(items), position))
 
     async def watch(
-        self, prefix: str, after: StorePosition, wait_seconds: float
+        self,
+        prefix: str,
+        after: StorePosition,
+        wait_seconds: float,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Result[Changes | None, CallError]:
         """Wait for changes under a prefix; None if the history was discarded.
 
-        Returns without changes after ``wait_seconds``.
+        Returns without changes after ``wait_seconds``; ``timeout_seconds`` is the time
+        beyond it that the response may take.
         """
         if after.era != self.era:
             return Ok(None)
@@ -155,7 +160,7 @@
             f"&start_after={after.revision}&wait_ms={int(wait_seconds * 1000)}"
         )
         call = Call(b"GET", target.encode())
-        timeout = wait_seconds + CALL_TIMEOUT_SECONDS
+        timeout = wait_seconds + timeout_seconds
         result = await self._call("watch", call, timeout, (OK, GONE))
         if isinstance(result, Err):
             return result
--- a/tests/entry/test_store_calls.py
+++ b/tests/entry/test_store_calls.py
@@ -109,3 +109,44 @@
     assert statuses == [200] * HOSTS
     # Four hosts read twice every 0.6 s, the others ever less often.
     assert reads <= 4 * 2 * 11 + (HOSTS - 4) * 2 * 4
+
+
+# Each read transferred the whole configuration, a large one at megabits a second.
+async def test_unchanged_configuration_is_not_transferred_again(site):
+    await site.add_endpoint("e1", 11)
+    await start_hosts(site, 3)
+    before = site.store.reads_by_key["op/config"]
+    await asyncio.sleep(CALM_SECONDS)
+
+    assert site.store.reads_by_key["op/config"] == before
+    assert site.store.calls_by_kind["kv-watch"] > CALM_SECONDS
+
+
+async def test_changed_configuration_reaches_all_hosts_by_the_watch(site):
+    await site.add_endpoint("e1", 11)
+    addresses = await start_hosts(site, 3)
+    site.configure(2, tenants=[{"name": "w1", "api_keys": ["key-2"]}])
+    await asyncio.sleep(1.5)
+    for address in addresses:
+        response = await site.send_request(address, "/plain/", "r1", key="key-2")
+        assert response.status == 200
+
+
+async def test_configuration_is_read_again_after_its_history_is_lost(site):
+    await site.add_endpoint("e1", 11)
+    (address,) = await start_hosts(site, 1)
+    site.store.faults["compact"] = 3
+    site.configure(2, tenants=[{"name": "w1", "api_keys": ["key-2"]}])
+    await asyncio.sleep(2.0)
+    response = await site.send_request(address, "/plain/", "r1", key="key-2")
+
+    assert response.status == 200
+
+
+# A host that took longer than 0.8 s to receive the configuration never became ready.
+async def test_host_becomes_ready_although_the_configuration_takes_long(site):
+    await site.add_endpoint("e1", 11)
+    site.store.faults["value_seconds"] = 1.2
+    address = site.start_daemon("host-1", 21)
+
+    await site.wait_ready(address)
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -2,7 +2,8 @@
 
 Faults: ``down`` (status 503), ``refuse_connections``, ``is_silent`` (no response),
 ``refusing_addresses`` (status 503 at these of the stand-in's addresses, since all
-callers on loopback have the same one), ``delay_seconds``,
+callers on loopback have the same one), ``delay_seconds``, ``value_seconds`` (a delay
+of reads of single items only),
 ``lose_answers`` (so many writes are applied without a response), ``late_writes`` (so
 many writes get no response and are applied ``late_seconds`` later, if their condition
 still holds), ``compact`` (so many watches get status 410: the history was compacted),
@@ -74,6 +75,7 @@
             is_silent=False,
             refusing_addresses=[],
             delay_seconds=0.0,
+            value_seconds=0.0,
             lose_answers=0,
             late_writes=0,
             late_seconds=0.3,
@@ -93,6 +95,7 @@
         self._changed = asyncio.Event()
         self._pending_watches = 0
         self.calls_by_kind: Counter[str] = Counter()
+        self.reads_by_key: Counter[str] = Counter()
         self._bytes_by_kind: Counter[str] = Counter()
 
     # Writes that a test makes directly, as an operator or an endpoint would.
@@ -186,6 +189,9 @@
 
     async def _get_key(self, request: web.Request) -> web.Response:
         key = request.query["key"]
+        self.reads_by_key[key] += 1
+        if self.faults["value_seconds"]:
+            await asyncio.sleep(self.faults["value_seconds"])
         item = self.items.get(key)
         if item is None:
             return web.json_response({"as_of": self._revision}, status=404)
