Apply the other facts of a message with an unreadable one

One fact whose value could not be read, as of a host of another version, ended the processing of its datagram with an error after all facts of the message had been stored. They counted as known from then on, so the limits, crashes and leaving endpoints that came with it never took effect on that host, and the fact went on to all others.

Facts on hosts that cannot be read are dropped before they are stored; any other one is logged, counted and skipped by itself. Found by a search for malformed messages that stop more than themselves; the process did not end, since the loop logs such errors.

--- a/src/amaranthhollow/decisions/membership.py
+++ b/src/amaranthhollow/decisions/membership.py
@@ -155,8 +155,16 @@
                 self.table.remove(DAEMON_FACT, host)
 
     def merge(self, facts: Iterable[Fact], now: float) -> list[Fact]:
-        """Store facts that are newer than the known ones, and return these."""
-        new_facts = self.table.merge(facts, len(self._infos_by_host))
+        """Store facts that are newer than the known ones, and return these.
+
+        Facts on daemons with an unreadable value are dropped.
+        """
+        readable = [
+            fact
+            for fact in facts
+            if fact.kind != DAEMON_FACT or _decode(fact.value) is not None
+        ]
+        new_facts = self.table.merge(readable, len(self._infos_by_host))
         for fact in new_facts:
             if fact.kind == DAEMON_FACT:
                 self._apply_daemon_fact(fact, now)
@@ -191,7 +199,9 @@
         self.merge([Fact(DAEMON_FACT, host, version, value)], now)
 
     def _apply_daemon_fact(self, fact: Fact, now: float) -> None:
-        info = msgspec.msgpack.decode(fact.value, type=DaemonInfo)
+        info = _decode(fact.value)
+        if info is None:
+            return
         if fact.name == self._host:
             self._refute(fact)
             return
@@ -220,3 +230,10 @@
 
 def _encode(info: DaemonInfo) -> bytes:
     return msgspec.msgpack.encode(info)
+
+
+def _decode(value: bytes) -> DaemonInfo | None:
+    try:
+        return msgspec.msgpack.decode(value, type=DaemonInfo)
+    except msgspec.DecodeError:
+        return None
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, ClassVar, Protocol
 
 import logbook
+import msgspec
 
 from amaranthhollow.decisions.duties import ObservedHolder
 from amaranthhollow.decisions.freshness import freshness_from_peer
@@ -261,8 +262,16 @@
         membership = self._host.membership
         for fact in membership.merge(message.gossip.facts, now()):
             apply_facts = self._consumers_by_kind.get(fact.kind)
-            if apply_facts is not None:
+            if apply_facts is None:
+                continue
+            try:
                 apply_facts([fact])
+            except (msgspec.DecodeError, ValueError) as error:
+                self._host.metrics.datagrams.increment("unreadable fact")
+                log.warning(
+                    "fact unreadable",
+                    extra={"kind": fact.kind, "fact": fact.name, "error": str(error)},
+                )
         return membership.table.compose_message(message.gossip)
 
     def _build_echo(self, ping: Ping, reply: object) -> Echo:
--- a/tests/entry/test_fact_consumers.py
+++ b/tests/entry/test_fact_consumers.py
@@ -149,3 +149,16 @@
         PART_CRASH_FACT,
         PART_SUCCESS_FACT,
     }
+
+
+@pytest.mark.parametrize("value", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\xa3abc"])
+@pytest.mark.parametrize(
+    "kind", ["daemon", CRASH_FACT, PART_CRASH_FACT, ENDPOINT_LIMIT_FACT, BRITTLE_FACT]
+)
+def test_fact_with_an_unreadable_value_hides_no_other_fact(daemon, kind, value):
+    """The facts of one message are stored together, and are never sent again."""
+    unreadable = Fact(kind, "x/y", Version(1), value)
+    tell(daemon, unreadable, limit_fact(daemon.host.wall_time()))
+
+    assert daemon.limits._limiter.rate(ENDPOINT_ID, 1) == 2.0
+    assert "x/y" not in daemon.host.membership.hosts
