--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -22,6 +22,7 @@
 )
 from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.decisions.usage import merge_counts
+from amaranthhollow.entry.contacts import Contacts
 from amaranthhollow.entry.peer_documents import (
     CONFIGURATION_TARGET,
     ENDPOINTS_TARGET,
@@ -100,9 +101,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._nonce = host.random.getrandbits(32)
         self._pending_pings_by_nonce: dict[int, _PendingPing] = {}
-        self._last_seen_at_by_host: dict[str, float] = {}
-        self._first_seen_at_by_process: dict[str, float] = {}
-        self._newest_incarnation_by_host: dict[str, int] = {}
+        self._contacts = Contacts()
         self._reports = ReportTable(host.name, host.incarnation)
         self._pace = exchange_pace(0)
         self._next_update_at = 0.0
@@ -207,7 +206,7 @@
             if instant - pending_ping.sent_at < ECHO_TIMEOUT_SECONDS:
                 continue
             del self._pending_pings_by_nonce[nonce]
-            last_seen_at = self._last_seen_at_by_host.get(pending_ping.host, 0.0)
+            last_seen_at = self._contacts.last_seen_at(pending_ping.host)
             if last_seen_at < pending_ping.sent_at:
                 self._host.membership.record_exchange_failure(
                     pending_ping.host, instant
@@ -218,11 +217,10 @@
         peers = host.membership.peers
         self._pace = exchange_pace(len(peers))
         host.spread_seconds = self._pace.spread_seconds
-        ages = {h: instant - at for h, at in self._last_seen_at_by_host.items()}
         limit = ECHO_TIMEOUT_SECONDS + self._pace.max_age_seconds
-        reachable = tuple(sorted(h for h, age in ages.items() if age < limit))
-        known = {h for h, age in ages.items() if age < KNOWN_HOST_RETENTION_SECONDS}
-        known.update(peers)
+        reachable = tuple(self._contacts.seen_since(instant - limit))
+        known_since = instant - KNOWN_HOST_RETENTION_SECONDS
+        known = {*self._contacts.seen_since(known_since), *peers}
         if reachable != host.reachable_hosts:
             log.info(
                 "reachable hosts changed",
@@ -233,17 +231,19 @@
         host.host_counts = HostCounts(1 + len(known), 1 + len(reachable), max_age)
         if instant >= self._started_at + SHARING_DELAY_SECONDS:
             host.sharing_hosts = tuple(sorted({*known, host.name}))
-        for name in [
-            h for h, age in ages.items() if age >= KNOWN_HOST_RETENTION_SECONDS
-        ]:
-            del self._last_seen_at_by_host[name]
-            self._newest_incarnation_by_host.pop(name, None)
+        self._forget_ended(instant)
+
+    def _forget_ended(self, instant: float) -> None:
+        """Drop what is known of hosts and processes that were not seen for long."""
+        host = self._host
+        known_since = instant - KNOWN_HOST_RETENTION_SECONDS
+        for name in self._contacts.forget_hosts(known_since):
             host.chooser.forget_host(name)
             host.can_relay_by_peer.pop(name, None)
             host.can_read_by_peer.pop(name, None)
             host.clock.forget(name)
         for process in self._reports.expire(instant - REPORT_RETENTION_SECONDS):
-            self._first_seen_at_by_process.pop(process, None)
+            self._contacts.forget_process(process)
             host.quotas.forget(process)
             host.usage_by_process.pop(process, None)
 
@@ -296,7 +296,7 @@
         """Return the levels of the quotas if the sender of a ping has just started."""
         process = f"{ping.host}@{ping.incarnation}"
         instant = now()
-        first_seen_at = self._first_seen_at_by_process.get(process, instant)
+        first_seen_at = self._contacts.first_seen_at(process, instant)
         if instant - first_seen_at >= QUOTA_LEVELS_SECONDS:
             return None
         return self._host.quotas.levels(instant)
@@ -331,25 +331,14 @@
 
     def _record_contact(self, message: Ping | Echo) -> None:
         """Record that a host has sent a message itself."""
-        self._record_process(message.host, message.incarnation, now())
-
-    def _record_process(self, name: str, incarnation: int, seen_at: float) -> bool:
-        """Record when a process ran; return whether it is the newest of its host."""
-        process = f"{name}@{incarnation}"
-        self._first_seen_at_by_process.setdefault(process, now())
-        newest = self._newest_incarnation_by_host.get(name, incarnation)
-        if incarnation < newest:
-            return False
-        self._newest_incarnation_by_host[name] = incarnation
-        last_seen_at = self._last_seen_at_by_host.get(name, seen_at)
-        self._last_seen_at_by_host[name] = max(last_seen_at, seen_at)
-        return True
+        self._contacts.record(message.host, message.incarnation, now(), now())
 
     def _apply_changes(self, changes: ReportChanges) -> None:
         """Apply what has changed in the report of a process."""
         host = self._host
         name, incarnation = changes.host, changes.incarnation
-        if self._record_process(name, incarnation, changes.seen_at(now())):
+        instant = now()
+        if self._contacts.record(name, incarnation, changes.seen_at(instant), instant):
             host.can_relay_by_peer[name] = changes.can_relay
             host.can_read_by_peer[name] = changes.can_read
             if changes.loads is not None:
