--- a/src/amaranthhollow/entry/stream_log.py
+++ b/src/amaranthhollow/entry/stream_log.py
@@ -28,8 +28,6 @@
 RECORD_PREFIX = f"{SYSTEM_KEY_PREFIX}streams/"
 # What was begun in the last interval is lost with all hosts.
 WRITE_INTERVAL_SECONDS = 0.2
-# By then a host knows whether another one is to write.
-FIRST_WRITE_DELAY_SECONDS = 1.0
 # A record without origins only states which versions were seen.
 IDLE_WRITE_INTERVAL_SECONDS = 2.0
 # A slow store responds within 0.25 s; callers wait for no longer.
@@ -78,7 +76,6 @@
 
     async def run(self) -> None:
         """Write records until cancelled, while this host is the one to do so."""
-        await asyncio.sleep(FIRST_WRITE_DELAY_SECONDS)
         while True:
             await asyncio.sleep(WRITE_INTERVAL_SECONDS)
             await self._wait_until_due()
