--- a/tests/decisions/test_claim_restoration.py
+++ b/tests/decisions/test_claim_restoration.py
@@ -116,6 +116,18 @@
     assert result(model, repeat) == refusal
 
 
+# The model lost a record that one daemon held, with it, and expected it to be restored.
+def test_record_of_one_holder_survives_a_restore_that_the_holder_survives(model):
+    first, second = model.daemons
+    claim_and_run(model, first, "k1")
+    model.restore(0)
+    model.crash(first)
+    repeat = model.request(second, "k1")
+    model.run_until_idle()
+
+    assert not isinstance(result(model, repeat), GrantClaim)
+
+
 def test_new_keys_are_granted_after_the_delay(model):
     daemon = model.daemons[0]
     claim_and_run(model, daemon, "k1")
