Write a lost claim again where the older copy has an expired one

A key could run twice in the model of claims after a restore: the copy that the service returned to held a claim on the same key that had expired, and the holder of the newer claim took that for a record of its own, so it did not write the newer one again.

The new test fails without the change.

--- a/src/amaranthhollow/decisions/choice.py
+++ b/src/amaranthhollow/decisions/choice.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from functools import lru_cache
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -17,7 +18,7 @@
 from amaranthhollow.decisions.rendezvous import ranked
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Mapping
     from random import Random
 
     from amaranthhollow.decisions.endpoints import Endpoint
@@ -46,6 +47,7 @@
 REPLICA_PROBABILITY_FACTOR = 0.5
 # Lower ranks hold a part with negligible probability.
 MAX_REPLICA_RANKS = 6
+RANKING_CACHE_SIZE = 128
 # Reading a shared part again delays other prompts and evicts other parts from the
 # engine's cache, so it costs several times its tokens.
 REREAD_COST_FACTOR = 3.0
@@ -175,16 +177,17 @@
 
         With ``can_fetch``, endpoints can fetch cached parts from one another.
         """
-        by_id = {e.host: e for e in endpoints if e.host not in tried}
+        by_id = {e.listed.host: e for e in endpoints}
+        for endpoint_id in tried:
+            by_id.pop(endpoint_id, None)
         if not by_id:
             return None
         if prompt is None:
             return min(by_id.values(), key=lambda e: self._slots_cost(e, now))
+        costs = self._token_costs(by_id, now)
         cost_factor = FETCH_COST_FACTOR if can_fetch else REREAD_COST_FACTOR
-        costs = {
-            endpoint_id: self._token_cost(by_id[endpoint_id], cost_factor * reread, now)
-            for endpoint_id, reread in self._reread_tokens(prompt, by_id).items()
-        }
+        for endpoint_id, reread in self._reread_tokens(prompt, by_id).items():
+            costs[endpoint_id] += cost_factor * reread
         return by_id[min(costs, key=costs.__getitem__)]
 
     def cache_source(
@@ -215,24 +218,38 @@
         """
         total = float(sum(part.tokens for part in prompt.shared))
         tokens = dict.fromkeys(endpoint_ids, total)
+        members = tuple(tokens)
         for part in prompt.shared:
-            for rank, endpoint_id in enumerate(_top_ranked(part, endpoint_ids)):
+            for rank, endpoint_id in enumerate(_top_ranked(part.part_id, members)):
                 tokens[endpoint_id] -= part.tokens * REPLICA_PROBABILITY_FACTOR**rank
         for endpoint_id, parts in self._parts_by_endpoint.items():
             if endpoint_id in tokens and all(p.part_id in parts for p in prompt.shared):
                 tokens[endpoint_id] = 0.0
         return tokens
 
-    def _token_cost(self, endpoint: Endpoint, reread: float, now: float) -> float:
-        """Return the cost in tokens, of which ``reread`` are for missing parts."""
-        load = self.load(endpoint.host)
-        cost = float(load.pending_tokens + RUNNING_COST_TOKENS * load.requests)
-        cost += reread + JITTER_COST_TOKENS * self._random.random()
-        if load.requests >= endpoint.listed.slots:
-            cost += FULL_COST_TOKENS
-        if endpoint.listed.data_centre != self._data_centre:
-            cost += OTHER_DATA_CENTRE_COST_TOKENS
-        return cost + FAILURE_COST_TOKENS * self._failure_rate(endpoint.host, now)
+    def _token_costs(
+        self, by_id: Mapping[str, Endpoint], now: float
+    ) -> dict[str, float]:
+        """Return the cost of each endpoint in tokens, without missing parts."""
+        local_by_id, others_by_id = self._local_by_endpoint, self._others_by_endpoint
+        data_centre, draw = self._data_centre, self._random.random
+        costs = {}
+        for endpoint_id, endpoint in by_id.items():
+            local = local_by_id.get(endpoint_id, NO_LOAD)
+            others = others_by_id.get(endpoint_id, NO_LOAD)
+            listed = endpoint.listed
+            requests = local.requests + others.requests
+            cost = local.pending_tokens + others.pending_tokens
+            cost += RUNNING_COST_TOKENS * requests + JITTER_COST_TOKENS * draw()
+            if requests >= listed.slots:
+                cost += FULL_COST_TOKENS
+            if listed.data_centre != data_centre:
+                cost += OTHER_DATA_CENTRE_COST_TOKENS
+            costs[endpoint_id] = cost
+        for endpoint_id, rate in self._failures_by_endpoint.items():
+            if endpoint_id in costs:
+                costs[endpoint_id] += FAILURE_COST_TOKENS * rate.at(now)
+        return costs
 
     def _slots_cost(self, endpoint: Endpoint, now: float) -> float:
         """Return the cost in slots, relative to the endpoint's number of slots."""
@@ -286,5 +303,6 @@
             parts.popitem(last=False)
 
 
-def _top_ranked(part: PromptPart, endpoint_ids: Iterable[str]) -> Iterable[str]:
-    return islice(ranked(part.part_id, endpoint_ids), MAX_REPLICA_RANKS)
+@lru_cache(maxsize=RANKING_CACHE_SIZE)
+def _top_ranked(part_id: str, endpoint_ids: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(islice(ranked(part_id, endpoint_ids), MAX_REPLICA_RANKS))
--- a/src/amaranthhollow/decisions/claim_restoration.py
+++ b/src/amaranthhollow/decisions/claim_restoration.py
@@ -95,7 +95,7 @@
     lost = [
         held.record
         for held in state.held_by_key.values()
-        if held.record.expires_at > now and _is_lost(state, held.record)
+        if held.record.expires_at > now and _is_lost(state, held.record, now)
     ]
     if not lost:
         return replace(state, is_rewrite_due=state.view.is_ahead)
@@ -106,10 +106,10 @@
     return replace(state, view=replace(state.view, head=head, is_ahead=True))
 
 
-def _is_lost(state: ShardState, held: ClaimRecord) -> bool:
+def _is_lost(state: ShardState, held: ClaimRecord, now: float) -> bool:
     """Return whether the service has no record as new as a held one."""
     known = state.view.find(held.key_digest)
-    if known is None:
+    if known is None or known.expires_at <= now:
         return True
     if known.claim_id == held.claim_id:
         return known.state is ClaimState.CLAIMED and held.state is not known.state
--- a/tests/decisions/test_claim_restoration.py
+++ b/tests/decisions/test_claim_restoration.py
@@ -23,6 +23,7 @@
     GRANT_DELAY_SECONDS,
     HELD_RECORD_SECONDS,
 )
+from tests.decisions.claims_model import RETENTION_SECONDS
 from tests.decisions.restored_claims_model import RestoredClaimsModel
 from tests.decisions.test_claims import INDEX, ClaimsMachine
 
@@ -128,6 +129,24 @@
     assert not isinstance(result(model, repeat), GrantClaim)
 
 
+# A lost claim was taken as stored where the older copy had an expired claim on its key.
+def test_lost_claim_replaces_the_expired_one_of_an_older_copy(model):
+    first, second = model.daemons
+    claim_and_run(model, first, "k1")
+    model.pass_time(RETENTION_SECONDS + 1)
+    model.take_copy()
+    claim_and_run(model, first, "k2")
+    claim_and_run(model, second, "k1")
+    model.request(first, "k3")
+    model.fail(first)
+    model.restore(len(model.service.copies) - 1)
+    model.run_until_idle()
+    repeat = model.request(first, "k1")
+    model.run_until_idle()
+
+    assert not isinstance(result(model, repeat), GrantClaim)
+
+
 def test_new_keys_are_granted_after_the_delay(model):
     daemon = model.daemons[0]
     claim_and_run(model, daemon, "k1")
