Plan engines once all that the operator started are listed

Cause: the planner took the engines listed 1.5 s after the first one for all that the operator provides, as if they were listed within one heartbeat of 1.2 s. There, 78 are listed over four seconds. It saw 26, ordered reclaimable ones for 26, and gave the others back; those not listed yet never came.

Ruled out: the exchange (the loads of the hosts are the same without processor time).

Change: no estimate before 2.5 s without a further engine, unless traffic comes first; engines that are listed until then count.

--- a/src/amaranthhollow/decisions/demand.py
+++ b/src/amaranthhollow/decisions/demand.py
@@ -4,8 +4,9 @@
 
 from dataclasses import dataclass, replace
 from math import ceil, exp
+from operator import attrgetter
 
-__all__ = ["DemandEstimate"]
+__all__ = ["DemandEstimate", "ServiceDemand"]
 
 # With half of the engines busy, a request waits about as long as reading it takes.
 TARGET_UTILIZATION = 0.45
@@ -14,14 +15,16 @@
 ON_DEMAND_TARGET_UTILIZATION = 0.8
 RISE_TIME_CONSTANT_SECONDS = 1.0
 FALL_TIME_CONSTANT_SECONDS = 10.0
+# Engines that were started together are listed one after another, with pauses of up to
+# a heartbeat of 1.2 s.
+SETTLING_SECONDS = 2.5
 
 
 @dataclass(frozen=True)
 class DemandEstimate:
     """An exponential moving average of samples that rises fast and falls slowly.
 
-    It starts from the number of engines that the operator provided, and remains there
-    until the first traffic is observed (``has_traffic``).
+    It remains where it started until the first traffic is observed (``has_traffic``).
     """
 
     busy: float
@@ -56,3 +59,46 @@
     def needed_with_on_demand(self) -> int:
         """The number of engines that suffices while on-demand ones are in use."""
         return ceil(self.busy / ON_DEMAND_TARGET_UTILIZATION)
+
+
+@dataclass(frozen=True)
+class ServiceDemand:
+    """The demand for the engines of one service, as observed since this process began.
+
+    Before any traffic it is what the engines that the operator started can serve. They
+    are listed one after another, so there is no ``estimate`` before ``settles_at``,
+    when all of them are, unless traffic comes first. Example::
+
+        demand = ServiceDemand().with_sample(engines=13, busy=0.0, now=0.0)
+        demand = demand.with_sample(engines=78, busy=0.0, now=1.0)
+        demand = demand.with_sample(engines=78, busy=0.0, now=3.5)
+        demand.estimate.needed_engines  # 78
+    """
+
+    estimate: DemandEstimate | None = None
+    engines: int = 0
+    settles_at: float = 0.0
+
+    def with_sample(self, engines: int, busy: float, now: float) -> ServiceDemand:
+        """Return the demand after a sample.
+
+        ``engines`` were listed at that time, and ``busy`` of them had work. Those that
+        the system has ordered as a reserve don't count.
+        """
+        state = self._with_engines(engines, now)
+        if state.engines == 0:
+            return state
+        is_settling = now < state.settles_at
+        if is_settling and busy <= 0.0 and state.estimate is None:
+            return state
+        estimate = state.estimate
+        if estimate is None or is_settling or not estimate.has_traffic:
+            initial = DemandEstimate.from_engines(engines, now)
+            estimate = max(initial, estimate or initial, key=attrgetter("busy"))
+        return replace(state, estimate=estimate.with_sample(busy, now))
+
+    def _with_engines(self, engines: int, now: float) -> ServiceDemand:
+        is_settled = self.engines > 0 and now >= self.settles_at
+        if is_settled or engines <= self.engines:
+            return self
+        return replace(self, engines=engines, settles_at=now + SETTLING_SECONDS)
--- a/src/amaranthhollow/entry/scaling_duty.py
+++ b/src/amaranthhollow/entry/scaling_duty.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from operator import attrgetter
 from typing import TYPE_CHECKING
 
 import logbook
 from result import Err
 
-from amaranthhollow.decisions.demand import DemandEstimate
+from amaranthhollow.decisions.demand import ServiceDemand
 from amaranthhollow.decisions.order_schedule import OrderSchedule
 from amaranthhollow.decisions.planner import (
     EngineCounts,
@@ -21,6 +20,7 @@
 from amaranthhollow.serving.clock import now
 
 if TYPE_CHECKING:
+    from amaranthhollow.decisions.demand import DemandEstimate
     from amaranthhollow.decisions.endpoints import Endpoint
     from amaranthhollow.decisions.site import Service
     from amaranthhollow.entry.host import Host
@@ -32,9 +32,6 @@
 SAMPLE_INTERVAL_SECONDS = 0.1
 # The other hosts sample so that the next holder starts from the recent demand.
 STANDBY_SAMPLE_INTERVAL_SECONDS = 0.5
-# Engines that run at the start write their entries within a heartbeat of 1.2 s of each
-# other. Later plans order more if some are listed later.
-FIRST_SAMPLE_DELAY_SECONDS = 1.5
 PLAN_INTERVAL_SECONDS = 0.5
 
 log = logbook.Logger("scaling")
@@ -49,8 +46,7 @@
         self._cloud = cloud
         self._fencing_token = 0
         self._schedule = OrderSchedule()
-        self._demand_by_service: dict[str, DemandEstimate] = {}
-        self._first_seen_at_by_service: dict[str, float] = {}
+        self._demand_by_service: dict[str, ServiceDemand] = {}
 
     async def run(self) -> None:
         """Sample the demand and order engines until cancelled."""
@@ -93,51 +89,25 @@
         ]
 
     def _sample_demand(self, service: Service) -> None:
-        chooser, instant = self._host.chooser, now()
+        chooser = self._host.chooser
         endpoints = self._endpoints(service)
-        if endpoints:
-            self._first_seen_at_by_service.setdefault(service.name, instant)
-        first_seen_at = self._first_seen_at_by_service.get(service.name, instant)
-        if instant < first_seen_at + FIRST_SAMPLE_DELAY_SECONDS:
-            return
-        demand = self._demand_by_service.get(service.name)
-        if demand is None or not demand.has_traffic:
-            initial = self._initial_demand(service, endpoints, instant)
-            demand = max(initial, demand or initial, key=attrgetter("busy"))
         times = self._host.prompt_times(service.name)
         busy = times.busy_engines(chooser.load(e.host) for e in endpoints)
-        self._demand_by_service[service.name] = demand.with_sample(busy, instant)
-
-    def _initial_demand(
-        self, service: Service, endpoints: list[Endpoint], instant: float
-    ) -> DemandEstimate:
-        """Return the demand to assume before any traffic, from the engines present.
-
-        Engines that the operator provided are not reclaimable. Without them, the
-        reclaimable ones count, less the reserve that the system has ordered for the
-        loss of a data centre.
-        """
-        operator_provided = [e for e in endpoints if not e.listed.is_reclaimable]
-        if operator_provided:
-            return DemandEstimate.from_engines(len(operator_provided), instant)
-        data_centre_count = len(service.scaling.price_by_data_centre)
-        surviving_engines = (
-            len(endpoints) * (data_centre_count - 1) // max(1, data_centre_count)
-        )
-        return DemandEstimate.from_engines(surviving_engines, instant)
+        demand = self._demand_by_service.get(service.name, ServiceDemand())
+        engines = _engines_without_reserve(service, endpoints)
+        self._demand_by_service[service.name] = demand.with_sample(engines, busy, now())
 
     async def _scale_service(self, service: Service) -> None:
-        demand = self._demand_by_service.get(service.name)
+        demand = self._demand_by_service[service.name].estimate
         if demand is None:
             return
         counts = count_engines(self._endpoints(service))
-        needed = demand.needed_engines
         instant = now()
         plan = plan_service(
             service.name,
             service.scaling,
             counts,
-            needed,
+            demand.needed_engines,
             demand.needed_with_on_demand,
             self._schedule.unavailable_data_centres(service.name, instant),
             is_idle=self._host.settings.is_first_start and not demand.has_traffic,
@@ -145,9 +115,9 @@
         for order in plan:
             present = counts.get(order.data_centre, EngineCounts())
             if self._schedule.is_due(order, present, now()):
-                await self._send_order(order, needed)
+                await self._send_order(order, demand)
 
-    async def _send_order(self, order: EngineOrder, needed: int) -> None:
+    async def _send_order(self, order: EngineOrder, demand: DemandEstimate) -> None:
         host = self._host
         if not host.duty.may_call(now(), CALL_TIMEOUT_SECONDS):
             return
@@ -166,8 +136,21 @@
                 "data_centre": order.data_centre,
                 "reclaimable": order.is_reclaimable,
                 "count": order.count,
-                "needed": needed,
-                "busy": round(self._demand_by_service[order.service].busy, 2),
+                "needed": demand.needed_engines,
+                "busy": round(demand.busy, 2),
                 "fencing_token": self._fencing_token,
             },
         )
+
+
+def _engines_without_reserve(service: Service, endpoints: list[Endpoint]) -> int:
+    """Return how many engines of a service there would be without the reserve.
+
+    Engines that the operator provided are not reclaimable. Without them, the
+    reclaimable ones count, less those ordered for the loss of a data centre.
+    """
+    operator_provided = sum(not e.listed.is_reclaimable for e in endpoints)
+    if operator_provided:
+        return operator_provided
+    data_centre_count = len(service.scaling.price_by_data_centre)
+    return len(endpoints) * (data_centre_count - 1) // max(1, data_centre_count)
