Wait for an engine that is reading a long prompt

Cause: an engine that has sent this host nothing since the request counts as gone after the target. Where few hosts share few engines, its other streams show that it lives; each of 195 hosts hears from an engine rarely. The time to read the prompt, and those ahead of it, was not looked at.

Change: the wait is three times what the engine needs for the prompts that it has, learned from first events, and at least the target; half of the time to the deadline is kept as before. decisions/attempt_timeouts.py is pure.

--- a/src/amaranthhollow/decisions/prompt_times.py
+++ b/src/amaranthhollow/decisions/prompt_times.py
@@ -16,6 +16,7 @@
 # Enough for a stable quantile; about ten seconds of one host's requests.
 MAX_SAMPLES = 128
 MIN_SAMPLES = 32
+MIN_READING_SAMPLES = 4
 # The constant part of a first event's delay hides the speed at which fewer tokens are
 # read.
 MIN_SPEED_TOKENS = 500
@@ -55,8 +56,18 @@
     @property
     def tokens_per_second(self) -> float | None:
         """The speed at which an engine reads a prompt alone; None if unknown."""
-        if len(self._samples) < MIN_SAMPLES:
-            return None
+        return self._speed() if len(self._samples) >= MIN_SAMPLES else None
+
+    def reading_seconds(self, tokens: int) -> float | None:
+        """Return the time to a first event after ``tokens`` are read in turn.
+
+        None while too few prompts were read to tell.
+        """
+        enough = len(self._samples) >= MIN_READING_SAMPLES
+        speed = self._speed() if enough else None
+        return None if speed is None else self.constant_seconds + tokens / speed
+
+    def _speed(self) -> float | None:
         constant = self.constant_seconds
         speeds = sorted(
             sample.tokens / (sample.seconds - constant)
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -91,6 +91,9 @@
         spend_retry=spend_retry,
         notify_response_started=notify_response_started,
         notify_prompt_read=notify_prompt_read,
+        reading_seconds=lambda service, tokens: host.prompt_times(
+            service
+        ).reading_seconds(tokens),
         notify_connection_lost=notify_connection_lost,
         is_quarantined=host.crash_detector.is_quarantined,
         notify_response_head=notify_response_head,
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -46,9 +46,11 @@
 
     ``spend_retry`` takes a retry from the budget of a service, and returns False if
     none is left. ``notify_prompt_read`` gets the prompt tokens that an endpoint had to
-    read for a first event, and the seconds it took. ``notify_connection_lost`` gets the
-    time of the first event of the lost attempt, if any, and ``is_quarantined`` returns
-    whether a request must not be sent again. ``notify_response_head`` gets each
+    read for a first event, and the seconds it took. ``reading_seconds`` returns how
+    long an endpoint of a service takes to read prompt tokens, or None if that is not
+    known. ``notify_connection_lost`` gets the time of the first event of the lost
+    attempt, if any, and ``is_quarantined`` returns whether a request must not be sent
+    again. ``notify_response_head`` gets each
     response of an endpoint, and the time at which the request was sent. ``may_send``
     returns whether an endpoint's own limit allows a request now, and
     ``notify_sending`` gets the endpoint of each attempt. ``rest_seconds`` returns for
@@ -61,6 +63,7 @@
     spend_retry: Callable[[str], bool]
     notify_response_started: Callable[[Admitted], None]
     notify_prompt_read: Callable[[Admitted, int, float], None]
+    reading_seconds: Callable[[str, int], float | None]
     notify_connection_lost: Callable[
         [CallerRequest, Admitted, Endpoint, float | None], None
     ]
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -4,6 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from amaranthhollow.decisions.attempt_timeouts import (
+    MIN_INACTIVITY_SECONDS,
+    head_timeout,
+    reading_timeout,
+)
 from amaranthhollow.decisions.site import RouteKind
 from amaranthhollow.serving.attempt import CompleteBody, TimedOut
 from amaranthhollow.serving.attempt_result import (
@@ -49,10 +54,6 @@
 # Load peaks pass within a few responses. The delay is drawn between this value and
 # twice it, so that callers don't retry at the same time.
 BUSY_RETRY_SECONDS = 0.25
-# The part of the time left after which a retryable request may be sent elsewhere.
-HEAD_WAIT_FRACTION = 0.5
-# An endpoint that sent this host no data for this long is assumed to be unreachable.
-MIN_INACTIVITY_SECONDS = 0.6
 
 
 class RequestRun:
@@ -82,6 +83,7 @@
         self._splitter = EventSplitter(request.last_event_id)
         self._software_version: str | None = None
         self._began_at: float | None = None
+        self._reading_timeout = 0.0
         self.log = log
 
     async def forward(self) -> None:
@@ -179,6 +181,7 @@
         self._pending_tokens = forwarder.chooser.record_sent(
             endpoint.host, self._prompt, fetches=source is not None
         )
+        self._reading_timeout = self._find_reading_timeout(endpoint)
         try:
             result = await self._send_and_read(attempt, endpoint, source)
             self._record_result(endpoint, result)
@@ -245,10 +248,15 @@
             return self._deadline
         left = self._deadline - attempt.sent_at
         target = self._route.latency_target_seconds
-        head_timeout = min(
-            left * HEAD_WAIT_FRACTION, max(target, MIN_INACTIVITY_SECONDS)
-        )
-        return attempt.sent_at + head_timeout
+        return attempt.sent_at + head_timeout(left, target, self._reading_timeout)
+
+    def _find_reading_timeout(self, endpoint: Endpoint) -> float:
+        """Return how long a sound endpoint may read, or zero without a prompt."""
+        if self._prompt is None:
+            return 0.0
+        tokens = self._forwarder.chooser.load(endpoint.host).pending_tokens
+        reading_seconds = self._forwarder.callbacks.reading_seconds
+        return reading_timeout(reading_seconds(self._admitted.service, tokens))
 
     def _is_inactive(self, attempt: Attempt, endpoint: Endpoint) -> bool:
         return self._forwarder.is_inactive_since(endpoint, attempt.sent_at)
