Leave an endpoint for its silence only where the silence says something

Cause: a host that has one request at an engine hears nothing from it while that request waits, so "nothing heard" was always true. With 8 hosts it is rarely so.

Change: silence counts as before where the host has other requests at the endpoint. Otherwise a response may take half of the time to the deadline, and an event 2 s. Lost hosts are found sooner by the probes of their connections. The tests of pauses with processes fail on the code before.

--- a/src/amaranthhollow/decisions/attempt_timeouts.py
+++ b/src/amaranthhollow/decisions/attempt_timeouts.py
@@ -4,10 +4,18 @@
 
 from math import inf
 
-__all__ = ["MIN_INACTIVITY_SECONDS", "head_timeout", "reading_timeout"]
+__all__ = [
+    "MIN_INACTIVITY_SECONDS",
+    "event_timeout",
+    "head_timeout",
+    "last_head_timeout",
+    "reading_timeout",
+]
 
 # An endpoint that sent this host no data for this long may be unreachable.
 MIN_INACTIVITY_SECONDS = 0.6
+# A sound endpoint falls silent for up to a second or so.
+MAX_PAUSE_SECONDS = 2.0
 # The part of the time left after which a retryable request may be sent elsewhere.
 HEAD_WAIT_FRACTION = 0.5
 # Engines that also write read a prompt this much more slowly than alone, at most.
@@ -29,10 +37,30 @@
 def head_timeout(
     left_seconds: float, target_seconds: float, reading_timeout_seconds: float
 ) -> float:
-    """Return how long to wait for the head of a response, or for the first event.
+    """Return after which time silence of a response's head may show a fault.
 
-    ``left_seconds`` are those until the request's deadline, half of which are kept for
-    another attempt, and ``target_seconds`` is the latency target of its route.
+    It does if the endpoint is also silent to other requests of this host.
+    ``left_seconds`` are those until the request's deadline, and ``target_seconds`` is
+    the latency target of its route.
     """
     timeout = max(target_seconds, MIN_INACTIVITY_SECONDS, reading_timeout_seconds)
-    return min(HEAD_WAIT_FRACTION * left_seconds, timeout)
+    return min(last_head_timeout(left_seconds), timeout)
+
+
+def last_head_timeout(left_seconds: float) -> float:
+    """Return how long to wait for the head of a response, or for the first event.
+
+    Half of the time is kept for another attempt.
+    """
+    return HEAD_WAIT_FRACTION * left_seconds
+
+
+def event_timeout(gap_seconds: float, *, has_other_requests: bool) -> float:
+    """Return how long an endpoint may pause between two events of a stream.
+
+    ``gap_seconds`` is the longest pause that the route aims at. Without other requests
+    of this host at the endpoint, only a pause longer than those of sound ones shows
+    a fault.
+    """
+    shortest = MIN_INACTIVITY_SECONDS if has_other_requests else MAX_PAUSE_SECONDS
+    return max(gap_seconds, shortest)
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -6,7 +6,9 @@
 
 from amaranthhollow.decisions.attempt_timeouts import (
     MIN_INACTIVITY_SECONDS,
+    event_timeout,
     head_timeout,
+    last_head_timeout,
     reading_timeout,
 )
 from amaranthhollow.decisions.site import RouteKind
@@ -229,26 +231,42 @@
         self, attempt: Attempt, endpoint: Endpoint
     ) -> ResponseInfo | ConnectionLost | TimedOut:
         """Read the head until the deadline, or until the endpoint is left."""
-        wait_until = self._head_wait_until(attempt)
-        event = await attempt.read_head(wait_until)
+        for wait_until, is_last in self._head_waits(attempt):
+            event = await attempt.read_head(wait_until)
+            if not isinstance(event, TimedOut):
+                break
+            shows_fault = is_last or self._has_other_requests(endpoint)
+            if (
+                shows_fault
+                and self._is_inactive(attempt, endpoint)
+                and self._may_switch_endpoint()
+            ):
+                return event
+        else:
+            event = await attempt.read_head(self._deadline)
         if not isinstance(event, TimedOut):
             self._forwarder.record_activity(endpoint)
-            return event
-        if wait_until >= self._deadline:
-            return event
-        if self._is_inactive(attempt, endpoint) and self._may_switch_endpoint():
-            return event
-        return await attempt.read_head(self._deadline)
-
-    def _head_wait_until(self, attempt: Attempt) -> float:
+        return event
+
+    def _head_waits(self, attempt: Attempt) -> list[tuple[float, bool]]:
+        """Return until when to wait before the endpoint may be left, the last flagged.
+
+        Empty if no retry is possible.
+        """
         if (
             not self._route.may_retry_unknown
             or self._sent_count >= self._route.max_attempts
         ):
-            return self._deadline
+            return []
         left = self._deadline - attempt.sent_at
         target = self._route.latency_target_seconds
-        return attempt.sent_at + head_timeout(left, target, self._reading_timeout)
+        first = head_timeout(left, target, self._reading_timeout)
+        last = last_head_timeout(left)
+        return [(attempt.sent_at + first, False), (attempt.sent_at + last, True)]
+
+    def _has_other_requests(self, endpoint: Endpoint) -> bool:
+        """Return whether this host would hear from a sound endpoint anyway."""
+        return self._forwarder.chooser.local_load(endpoint.host).requests > 1
 
     def _find_reading_timeout(self, endpoint: Endpoint) -> float:
         """Return how long a sound endpoint may read, or zero without a prompt."""
@@ -342,15 +360,17 @@
 
         This is the deadline if no retry is possible.
         """
-        if (
-            not self._route.may_retry_unknown
-            or self._sent_count >= self._route.max_attempts
-        ):
+        waits = self._head_waits(attempt)
+        if not waits:
             return self._deadline
         if self.log.first_part_at is None:
-            return max(now() + MIN_INACTIVITY_SECONDS, self._head_wait_until(attempt))
-        gap = self._route.max_gap_seconds or self._route.latency_target_seconds
-        return min(self._deadline, now() + max(gap, MIN_INACTIVITY_SECONDS))
+            index = 0 if self._has_other_requests(attempt.endpoint) else -1
+            return max(now() + MIN_INACTIVITY_SECONDS, waits[index][0])
+        timeout = event_timeout(
+            self._route.max_gap_seconds or self._route.latency_target_seconds,
+            has_other_requests=self._has_other_requests(attempt.endpoint),
+        )
+        return min(self._deadline, now() + timeout)
 
     def _is_inactive_in_stream(self, endpoint: Endpoint) -> bool:
         return self._forwarder.is_inactive_since(
--- a/tests/decisions/test_attempt_timeouts.py
+++ b/tests/decisions/test_attempt_timeouts.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from amaranthhollow.decisions.attempt_timeouts import head_timeout, reading_timeout
+from amaranthhollow.decisions.attempt_timeouts import (
+    event_timeout,
+    head_timeout,
+    last_head_timeout,
+    reading_timeout,
+)
 from amaranthhollow.decisions.prompt_times import PromptTimes
 
 TARGET_SECONDS = 1.0
@@ -104,3 +109,19 @@
     times.observe(1_000, 0.1)
 
     assert times.reading_seconds(1_000) is None
+
+
+# A host without other requests at an endpoint took a pause of a sound one for its loss.
+def test_pause_of_a_second_or_so_is_tolerated_without_other_requests():
+    assert event_timeout(0.5, has_other_requests=False) >= 1.5
+    assert event_timeout(0.5, has_other_requests=True) < 1.0
+
+
+def test_stalled_stream_is_left_in_time_for_another_attempt():
+    assert event_timeout(0.5, has_other_requests=False) <= last_head_timeout(10.0)
+
+
+def test_wait_for_a_head_has_an_end_without_any_evidence(times):
+    timeout = reading_timeout(times.reading_seconds(LONG_PROMPT))
+
+    assert head_timeout(10.0, TARGET_SECONDS, timeout) < last_head_timeout(10.0) <= 5.0
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.standins.scripted_endpoint import (
     plain_response,
     sse_event,
@@ -124,6 +126,24 @@
     assert len(site.arrivals) == 2
 
 
+# A host with no other request at a sound endpoint left it after 0.6 s without data.
+@pytest.mark.parametrize("parts", [(sse_event(1), 1.2), (sse_event(1),)])
+async def test_pause_of_a_sound_endpoint_does_not_move_a_stream(site, parts):
+    await site.add_endpoint("e1", 11)
+    await site.add_endpoint("e2", 12)
+    address = site.start_daemon("host-1", 21)
+    await site.wait_ready(address)
+    script = stream_response(*parts, sse_event(2))
+    if len(parts) == 1:
+        script = [0.8, *script]
+    for endpoint in site.endpoints.values():
+        endpoint.scripts_by_path["/stream/x"] = script
+    response = await site.send_request(address, "/stream/x", "r1")
+
+    assert (response.is_complete, response.body) == (True, sse_event(1) + sse_event(2))
+    assert len(site.arrivals) == 1
+
+
 async def test_slow_response_of_the_only_endpoint_is_not_cut(site):
     await site.add_endpoint("e1", 11)
     address = site.start_daemon("host-1", 21)
