Fetch no cached parts from an endpoint that rests

Requests, retries and resumptions kept to it, but the others were still told to fetch cached parts of prompts from it. The test fails on the code before.

--- a/src/amaranthhollow/entry/endpoint_statements.py
+++ b/src/amaranthhollow/entry/endpoint_statements.py
@@ -79,11 +79,17 @@
         endpoint_id, incarnation = endpoint.host, endpoint.listed.incarnation
         if self._statements.is_leaving(endpoint_id, incarnation):
             return False
-        if self._statements.rests_until(endpoint_id, incarnation, now()) is None:
+        if not self.is_resting(endpoint):
             return True
         self._host.metrics.limited_choices.increment(endpoint.listed.deployment)
         return False
 
+    def is_resting(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint wants no more requests of this host for now."""
+        endpoint_id, incarnation = endpoint.host, endpoint.listed.incarnation
+        until = self._statements.rests_until(endpoint_id, incarnation, now())
+        return until is not None
+
     def rest_seconds(self, service: str) -> float:
         """Return for how long all endpoints of a service rest; 0 if one does not."""
         if not self._statements.has_any:
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -98,6 +98,7 @@
         is_quarantined=host.crash_detector.is_quarantined,
         notify_response_head=notify_response_head,
         may_send=may_send,
+        may_fetch_from=lambda endpoint: not statements.is_resting(endpoint),
         notify_sending=notify_sending,
         rest_seconds=statements.rest_seconds,
         notify_stream_started=origins.record_started,
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -52,7 +52,8 @@
     attempt, if any, and ``is_quarantined`` returns whether a request must not be sent
     again. ``notify_response_head`` gets each
     response of an endpoint, and the time at which the request was sent. ``may_send``
-    returns whether an endpoint's own limit allows a request now, and
+    returns whether an endpoint's own limit allows a request now, ``may_fetch_from``
+    whether other endpoints may fetch cached parts from it, and
     ``notify_sending`` gets the endpoint of each attempt. ``rest_seconds`` returns for
     how long all endpoints of a service want no request. ``notify_stream_started`` gets
     the software version of the endpoint whose events are about to be relayed, and
@@ -70,6 +71,7 @@
     is_quarantined: Callable[[CallerRequest], bool]
     notify_response_head: Callable[[Endpoint, ResponseInfo, float], None]
     may_send: Callable[[Endpoint], bool]
+    may_fetch_from: Callable[[Endpoint], bool]
     notify_sending: Callable[[Endpoint], None]
     rest_seconds: Callable[[str], float]
     notify_stream_started: Callable[[CallerRequest, Admitted, str], None]
@@ -140,7 +142,9 @@
         """
         if prompt is None or not self._site.shares_cache(admitted.service):
             return None
-        usable = self._site.usable_endpoints(admitted.service, now())
+        usable = self._site.usable_endpoints(
+            admitted.service, now(), self._callbacks.may_fetch_from
+        )
         source = self._chooser.cache_source(usable, chosen, prompt)
         return None if source is None else source.address_and_port
 
--- a/tests/entry/test_endpoint_statements.py
+++ b/tests/entry/test_endpoint_statements.py
@@ -161,3 +161,22 @@
     assert 2.0 < float(response.headers["retry-after"]) < 6.0
     assert seconds < 0.3
     assert sum(len(e.arrivals) for e in site.endpoints.values()) == before
+
+
+# Other endpoints were sent to one that rests, to fetch cached parts of prompts from it.
+async def test_nothing_is_fetched_from_a_resting_endpoint(site, addresses):
+    engine = {"kv_tokens": 90_000, "moves": True}
+    site.configure(2, services=[{"name": "plain-app", "engine": engine}])
+    resting, other = site.endpoints["e1"], site.endpoints["e2"]
+    resting.default_script = rejection(b"60")
+    async with asyncio.timeout(5):
+        while not resting.arrivals or '"version":2' not in site.read_log("host-1"):
+            await send_for(site, addresses[:1], 0.1)
+    prompt = "X-Prefix-Hash: aa:9000,bb:100\r\n"
+    for number in range(4):
+        request_id = f"prompt-{number}"
+        await site.send_request(addresses[0], "/plain/", request_id, headers=prompt)
+
+    sent = [a for a in other.arrivals if a.request_id.startswith("prompt-")]
+    assert sent
+    assert not [a for a in sent if "kv-fetch" in a.headers]
