Test that a host reads the origins of streams that it was not told of

The read at the start of a host does not cover it: a host that runs when a stream begins, and is none of its holders, finds the origin in the store alone once the others are lost. The new test fails without the read.

--- a/tests/entry/test_stream_versions.py
+++ b/tests/entry/test_stream_versions.py
@@ -249,6 +249,30 @@
     return addresses
 
 
+async def test_last_host_takes_up_streams_of_which_it_was_not_told(site):
+    """Origins are sent to some hosts only; the others find them in the store."""
+    await add_two_versions(site, event_seconds=0.3)
+    addresses = await start_hosts(site, 6)
+    begun = [
+        asyncio.create_task(request_stream(addresses[0], f"first-{n}"))
+        for n in range(STREAMS)
+    ]
+    await asyncio.sleep(1.2)
+    for number in range(5):
+        site.processes[f"host-{number}"].kill()
+    first_parts = await asyncio.gather(*begun)
+    rests = await asyncio.gather(
+        *(
+            resume_stream(addresses[5], f"next-{n}", part.event_ids[-1], f"first-{n}")
+            for n, part in enumerate(first_parts)
+        )
+    )
+
+    pairs = list(zip(first_parts, rests, strict=True))
+    assert [rest.status for rest in rests].count(200) >= STREAMS - 1
+    assert not [part for part, rest in pairs if len(part.versions | rest.versions) > 1]
+
+
 # All hosts lost power, and no stream that a client took up afterwards went on.
 async def test_most_streams_go_on_after_the_loss_of_all_hosts(site):
     await add_two_versions(site, event_seconds=0.3)
