--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -164,15 +164,11 @@
         """Admit or reject a request that costs ``cost`` tokens or requests."""
         quota = self._tolerance.enforced_quota(quota)
         bucket = self._refill(workspace, quota, hosts, now)
-        unreachable_reserve = self._capacity(quota) * (
-            1.0 - hosts.reachable / hosts.total
-        )
+        unreachable = 1.0 - hosts.reachable / hosts.total
+        unreachable_reserve = unreachable * self._capacity(quota)
         max_overdraft = OVERDRAFT_SLACK * self._tolerance.slack
-        excess_rate = max(0.0, bucket.others_rate - quota.rate_per_second)
-        unseen = excess_rate * hosts.max_age_seconds
-        reserve = max(quota.burst * MIN_SHARED_FILL, unreachable_reserve, unseen)
         remaining = bucket.level - cost
-        if remaining >= reserve:
+        if remaining >= max(unreachable_reserve, _min_unshared_level(bucket)):
             bucket.is_shared = False
         else:
             if not bucket.is_shared:
@@ -290,3 +286,11 @@
         share = quota.rate_per_second / hosts.total * MAX_SHARE_SECONDS
         slack = SPENDABLE_SLACK * self._tolerance.slack / hosts.total
         return _Bucket(quota, hosts, level, share, slack, now)
+
+
+def _min_unshared_level(bucket: _Bucket) -> float:
+    """Return the level from which on the other hosts' late counts do no harm."""
+    quota = bucket.quota
+    excess_rate = max(0.0, bucket.others_rate - quota.rate_per_second)
+    unseen = excess_rate * bucket.hosts.max_age_seconds
+    return max(quota.burst * MIN_SHARED_FILL, unseen)
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -60,6 +60,9 @@
     def notify_prompt_read(admitted: Admitted, tokens: int, seconds: float) -> None:
         host.prompt_times(admitted.service).observe(tokens, seconds)
 
+    def reading_seconds(service: str, tokens: int) -> float | None:
+        return host.prompt_times(service).reading_seconds(tokens)
+
     def notify_connection_lost(
         request: CallerRequest,
         admitted: Admitted,
@@ -91,9 +94,7 @@
         spend_retry=spend_retry,
         notify_response_started=notify_response_started,
         notify_prompt_read=notify_prompt_read,
-        reading_seconds=lambda service, tokens: host.prompt_times(
-            service
-        ).reading_seconds(tokens),
+        reading_seconds=reading_seconds,
         notify_connection_lost=notify_connection_lost,
         is_quarantined=host.crash_detector.is_quarantined,
         notify_response_head=notify_response_head,
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -271,6 +271,7 @@
         quotas=QuotaLimiter(
             QuotaTolerance(bounds.quota_over, bounds.quota_slack),
             restarted_at=None if settings.is_first_start else now(),
+            draw=random.random,
         ),
     )
     host.store.add_restore_listener(host.store_restored)
