Keep the slack of quotas within what is accepted at every draw

Cause: the bucket could be overdrawn by a fifth of the slack, beside the two fifths that enlarge it and two that are spent before counts arrive, and the slack counted as credit for requests from the shares.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -40,10 +40,7 @@
 CAPACITY_SLACK = 0.4
 # Fraction of the slack that hosts spend from a nearly empty bucket before they receive
 # each other's counts.
-SPENDABLE_SLACK = 0.4
-# Fraction of the slack by which the bucket may be overdrawn while hosts use their
-# shares of the rate.
-OVERDRAFT_SLACK = 0.2
+SPENDABLE_SLACK = 0.33
 # At small sites the counts of reachable hosts are at most this old.
 MIN_COUNTS_AGE_SECONDS = 0.5
 # Over this time the spending of the other hosts is averaged.
@@ -166,7 +163,6 @@
         bucket = self._refill(workspace, quota, hosts, now)
         unreachable = 1.0 - hosts.reachable / hosts.total
         unreachable_reserve = unreachable * self._capacity(quota)
-        max_overdraft = OVERDRAFT_SLACK * self._tolerance.slack
         remaining = bucket.level - cost
         if remaining >= max(unreachable_reserve, _min_unshared_level(bucket)):
             bucket.is_shared = False
@@ -175,7 +171,7 @@
                 self._begin_sharing(bucket, cost, hosts)
             if remaining >= unreachable_reserve and bucket.slack_level >= cost:
                 bucket.slack_level -= cost
-            elif bucket.share_level > 0 and bucket.level > -max_overdraft:
+            elif bucket.share_level > 0 and bucket.level > 0:
                 bucket.share_level -= cost
             else:
                 missing = max(0.0, -bucket.share_level) + cost / hosts.total
@@ -191,7 +187,7 @@
         At once, one request of each host could cost more than the bucket has.
         """
         bucket.is_shared = True
-        credit = max(bucket.level, SPENDABLE_SLACK * self._tolerance.slack)
+        credit = max(bucket.level, 0.0)
         if self._draw() * hosts.total * cost > credit:
             bucket.share_level -= self._draw() * cost
 
