--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -9,8 +9,6 @@
 import logbook
 import msgspec
 
-from amaranthhollow.decisions.duties import ObservedHolder
-from amaranthhollow.decisions.freshness import freshness_from_peer
 from amaranthhollow.decisions.gossip import PeerRotation
 from amaranthhollow.decisions.quota import MIN_COUNTS_AGE_SECONDS, HostCounts
 from amaranthhollow.decisions.reports import (
@@ -20,17 +18,11 @@
     exchange_pace,
     process_key,
 )
-from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.decisions.usage import merge_counts
 from amaranthhollow.entry.contacts import Contacts
-from amaranthhollow.entry.peer_documents import (
-    CONFIGURATION_TARGET,
-    ENDPOINTS_TARGET,
-)
+from amaranthhollow.entry.freshness_exchange import FreshnessExchange
 from amaranthhollow.peers.datagrams import (
-    RELEASED_LEASE_SECONDS,
     Echo,
-    FreshnessReport,
     OriginQuery,
     OriginReply,
     Ping,
@@ -93,7 +85,7 @@
     def __init__(self, host: Host, documents: PeerDocuments) -> None:
         """Exchange datagrams on behalf of ``host``, and fetch newer ``documents``."""
         self._host = host
-        self._documents = documents
+        self._freshness = FreshnessExchange(host, documents)
         self._consumers_by_kind: dict[str, Callable[[Iterable[Fact]], None]] = {}
         self._started_at = now()
         self.receive_stream_message: Callable[[StreamMessage], None] = _ignore
@@ -287,7 +279,7 @@
             host.incarnation,
             reply,
             self._reports.changes_for(ping.digest, instant),
-            self._build_freshness_report(),
+            self._freshness.build_report(),
             host.clock.local_wall_time(instant),
             self._quota_levels_for(ping),
         )
@@ -301,34 +293,6 @@
             return None
         return self._host.quotas.levels(instant)
 
-    def _build_freshness_report(self) -> FreshnessReport:
-        host, instant = self._host, now()
-        site, duty = host.site, host.duty
-        holder, token, remaining_seconds = "", 0, 0.0
-        if duty.held_lease is not None:
-            holder, token = host.name, duty.held_lease.fencing_token
-            remaining_seconds = duty.held_lease.expires_at - instant
-        elif duty.observed_holder is not None:
-            holder, token = (
-                duty.observed_holder.host,
-                duty.observed_holder.fencing_token,
-            )
-            remaining_seconds = duty.observed_holder.expires_at - instant
-            if duty.observed_holder.is_released:
-                remaining_seconds = RELEASED_LEASE_SECONDS
-        return FreshnessReport(
-            site.version,
-            _encode_age(site.configuration_freshness.age(instant)),
-            site.snapshot.revision,
-            site.fingerprint,
-            _encode_age(site.endpoints_freshness.age(instant)),
-            holder,
-            token,
-            remaining_seconds,
-            host.store.era,
-            site.snapshot.era,
-        )
-
     def _record_contact(self, message: Ping | Echo) -> None:
         """Record that a host has sent a message itself."""
         self._contacts.record(message.host, message.incarnation, now(), now())
@@ -359,44 +323,12 @@
         self._merge_gossip(echo)
         midpoint = (pending_ping.sent_at + now()) / 2
         self._host.clock.observe(echo.host, echo.wall_time, midpoint)
-        self._apply_freshness_report(echo.host, echo.freshness, pending_ping.sent_at)
+        self._freshness.apply_report(echo.host, echo.freshness, pending_ping.sent_at)
         quotas, instant = self._host.quotas, now()
         if echo.quota_levels is not None and not quotas.knows_levels(instant):
             quotas.adopt_levels(echo.quota_levels, instant)
             log.info("quota levels adopted", extra={"from": echo.host})
 
-    def _apply_freshness_report(
-        self, name: str, report: FreshnessReport, sent_at: float
-    ) -> None:
-        site = self._host.site
-        self._host.store.observe_era(report.store_era)
-        if report.configuration_age >= 0:
-            freshness = freshness_from_peer(sent_at, report.configuration_age)
-            if report.configuration_version > site.version:
-                self._documents.fetch(
-                    name, CONFIGURATION_TARGET, freshness.confirmed_at
-                )
-            site.confirm_configuration(report.configuration_version, freshness)
-        if report.endpoints_age >= 0:
-            freshness = freshness_from_peer(sent_at, report.endpoints_age)
-            position = StorePosition(report.endpoints_era, report.endpoints_revision)
-            is_newer = position > site.snapshot.position
-            if is_newer and report.endpoints_fingerprint != site.fingerprint:
-                self._documents.fetch(name, ENDPOINTS_TARGET, freshness.confirmed_at)
-            site.confirm_endpoints(report.endpoints_fingerprint, freshness)
-        if report.holder and report.holder != self._host.name:
-            is_released = report.holder_seconds == RELEASED_LEASE_SECONDS
-            expires_at = 0.0 if is_released else now() + report.holder_seconds
-            observed_holder = ObservedHolder(
-                report.holder, report.fencing_token, expires_at, is_released
-            )
-            self._host.duty = self._host.duty.observe_holder(observed_holder)
-
 
 def _ignore(message: StreamMessage) -> None:
     """Drop a message that arrives before its receiver is set."""
-
-
-def _encode_age(age: float) -> float:
-    """Return an age as it is sent to peers, where -1 means never confirmed."""
-    return -1.0 if age == float("inf") else age
