Judge the silence of an endpoint apart from the run of a request, by stored deadlines

Found reading the change: RequestRun kept a duration between calls and passed a list of tuples, against the house rules, and judged silence beside its other jobs. The times at which a missing head may show, and shows, a fault are a data class; SilenceJudge asks what this host hears of the endpoint. No change of behaviour; the tests ask the same of the new names.

--- a/src/amaranthhollow/decisions/attempt_timeouts.py
+++ b/src/amaranthhollow/decisions/attempt_timeouts.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from math import inf
+from dataclasses import dataclass
 
 __all__ = [
     "MIN_INACTIVITY_SECONDS",
+    "HeadDeadlines",
     "event_timeout",
-    "head_timeout",
-    "last_head_timeout",
-    "reading_timeout",
+    "head_deadlines",
 ]
 
 # An endpoint that sent this host no data for this long may be unreachable.
@@ -22,37 +21,40 @@
 READING_TIME_MARGIN = 3.0
 
 
-def reading_timeout(reading_seconds: float | None) -> float:
-    """Return how long a sound engine may take to read the prompts that it has.
+@dataclass(frozen=True)
+class HeadDeadlines:
+    """The times at which the head of a response that is still missing says something.
 
-    ``reading_seconds`` is the time that it needs for them alone, and None if that is
-    not known; then only the request's deadline bounds the wait. An engine that is left
-    has read in vain, and the next one reads the prompt again. Example::
-
-        reading_timeout(0.6)  # 1.8
+    At ``suspect_at`` it shows a fault if the endpoint is also silent to other requests
+    of this host, at ``leave_at`` in any case.
     """
-    return inf if reading_seconds is None else READING_TIME_MARGIN * reading_seconds
-
 
-def head_timeout(
-    left_seconds: float, target_seconds: float, reading_timeout_seconds: float
-) -> float:
-    """Return after which time silence of a response's head may show a fault.
+    suspect_at: float
+    leave_at: float
 
-    It does if the endpoint is also silent to other requests of this host.
-    ``left_seconds`` are those until the request's deadline, and ``target_seconds`` is
-    the latency target of its route.
-    """
-    timeout = max(target_seconds, MIN_INACTIVITY_SECONDS, reading_timeout_seconds)
-    return min(last_head_timeout(left_seconds), timeout)
 
+def head_deadlines(
+    sent_at: float,
+    deadline: float,
+    target_seconds: float,
+    reading_seconds: float | None,
+) -> HeadDeadlines:
+    """Return how long an endpoint keeps a request that was sent at ``sent_at``.
 
-def last_head_timeout(left_seconds: float) -> float:
-    """Return how long to wait for the head of a response, or for the first event.
+    ``target_seconds`` is the latency target of the route. ``reading_seconds`` is the
+    time that the engine needs alone for the prompts that it has, zero without prompts,
+    and None if that is not known; half of the time to the deadline, which is kept for
+    another attempt, then is the only bound. An engine that is left has read in vain,
+    and the next one reads the prompt again. Example::
 
-    Half of the time is kept for another attempt.
+        head_deadlines(5.0, 15.0, 1.0, 0.6)  # suspect_at=6.8, leave_at=10.0
     """
-    return HEAD_WAIT_FRACTION * left_seconds
+    leave_at = sent_at + HEAD_WAIT_FRACTION * (deadline - sent_at)
+    if reading_seconds is None:
+        return HeadDeadlines(leave_at, leave_at)
+    reading_timeout = READING_TIME_MARGIN * reading_seconds
+    timeout = max(target_seconds, MIN_INACTIVITY_SECONDS, reading_timeout)
+    return HeadDeadlines(min(leave_at, sent_at + timeout), leave_at)
 
 
 def event_timeout(gap_seconds: float, *, has_other_requests: bool) -> float:
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -4,13 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from amaranthhollow.decisions.attempt_timeouts import (
-    MIN_INACTIVITY_SECONDS,
-    event_timeout,
-    head_timeout,
-    last_head_timeout,
-    reading_timeout,
-)
 from amaranthhollow.decisions.site import RouteKind
 from amaranthhollow.serving.attempt import CompleteBody, TimedOut
 from amaranthhollow.serving.attempt_result import (
@@ -28,6 +21,7 @@
 )
 from amaranthhollow.serving.event_stream import EventSplitter
 from amaranthhollow.serving.request import Dispatch, ResponseInfo
+from amaranthhollow.serving.silence import SilenceJudge
 
 if TYPE_CHECKING:
     from amaranthhollow.decisions.endpoints import Endpoint
@@ -85,7 +79,7 @@
         self._splitter = EventSplitter(request.last_event_id)
         self._software_version: str | None = None
         self._began_at: float | None = None
-        self._reading_timeout = 0.0
+        self._silence: SilenceJudge | None = None
         self.log = log
 
     async def forward(self) -> None:
@@ -183,7 +177,6 @@
         self._pending_tokens = forwarder.chooser.record_sent(
             endpoint.host, self._prompt, fetches=source is not None
         )
-        self._reading_timeout = self._find_reading_timeout(endpoint)
         try:
             result = await self._send_and_read(attempt, endpoint, source)
             self._record_result(endpoint, result)
@@ -212,6 +205,7 @@
         self._sent_count += 1
         self._began_at = None
         self.log.sent_at = attempt.sent_at
+        self._silence = self._new_silence_judge(attempt)
         self._exchange.continues_after_disconnect = (
             self._route.kind is RouteKind.NON_IDEMPOTENT
         )
@@ -227,57 +221,55 @@
             case TimedOut():
                 return OutcomeUnknown(f"{endpoint.host} sent no response in time")
 
+    def _new_silence_judge(self, attempt: Attempt) -> SilenceJudge | None:
+        """Return the judge of the endpoint, or None if no retry is possible."""
+        route = self._route
+        if not route.may_retry_unknown or self._sent_count >= route.max_attempts:
+            return None
+        return SilenceJudge(
+            self._forwarder,
+            attempt,
+            route,
+            self._deadline,
+            self._reading_seconds(attempt.endpoint),
+        )
+
+    def _reading_seconds(self, endpoint: Endpoint) -> float | None:
+        """Return how long an endpoint reads alone the prompts that it has."""
+        if self._prompt is None:
+            return 0.0
+        tokens = self._forwarder.chooser.load(endpoint.host).pending_tokens
+        reading_seconds = self._forwarder.callbacks.reading_seconds
+        return reading_seconds(self._admitted.service, tokens)
+
     async def _read_head(
         self, attempt: Attempt, endpoint: Endpoint
     ) -> ResponseInfo | ConnectionLost | TimedOut:
         """Read the head until the deadline, or until the endpoint is left."""
-        for wait_until, is_last in self._head_waits(attempt):
-            event = await attempt.read_head(wait_until)
-            if not isinstance(event, TimedOut):
-                break
-            shows_fault = is_last or self._has_other_requests(endpoint)
-            if (
-                shows_fault
-                and self._is_inactive(attempt, endpoint)
-                and self._may_switch_endpoint()
-            ):
-                return event
-        else:
-            event = await attempt.read_head(self._deadline)
+        event = await self._read_head_unless_left(attempt)
         if not isinstance(event, TimedOut):
             self._forwarder.record_activity(endpoint)
         return event
 
-    def _head_waits(self, attempt: Attempt) -> list[tuple[float, bool]]:
-        """Return until when to wait before the endpoint may be left, the last flagged.
-
-        Empty if no retry is possible.
-        """
-        if (
-            not self._route.may_retry_unknown
-            or self._sent_count >= self._route.max_attempts
-        ):
-            return []
-        left = self._deadline - attempt.sent_at
-        target = self._route.latency_target_seconds
-        first = head_timeout(left, target, self._reading_timeout)
-        last = last_head_timeout(left)
-        return [(attempt.sent_at + first, False), (attempt.sent_at + last, True)]
-
-    def _has_other_requests(self, endpoint: Endpoint) -> bool:
-        """Return whether this host would hear from a sound endpoint anyway."""
-        return self._forwarder.chooser.local_load(endpoint.host).requests > 1
-
-    def _find_reading_timeout(self, endpoint: Endpoint) -> float:
-        """Return how long a sound endpoint may read, or zero without a prompt."""
-        if self._prompt is None:
-            return 0.0
-        tokens = self._forwarder.chooser.load(endpoint.host).pending_tokens
-        reading_seconds = self._forwarder.callbacks.reading_seconds
-        return reading_timeout(reading_seconds(self._admitted.service, tokens))
+    async def _read_head_unless_left(
+        self, attempt: Attempt
+    ) -> ResponseInfo | ConnectionLost | TimedOut:
+        silence = self._silence
+        if silence is None:
+            return await attempt.read_head(self._deadline)
+        deadlines = silence.head_deadlines
+        event = await attempt.read_head(deadlines.suspect_at)
+        if not isinstance(event, TimedOut):
+            return event
+        if silence.has_other_requests and self._may_leave(silence):
+            return event
+        event = await attempt.read_head(deadlines.leave_at)
+        if not isinstance(event, TimedOut) or self._may_leave(silence):
+            return event
+        return await attempt.read_head(self._deadline)
 
-    def _is_inactive(self, attempt: Attempt, endpoint: Endpoint) -> bool:
-        return self._forwarder.is_inactive_since(endpoint, attempt.sent_at)
+    def _may_leave(self, silence: SilenceJudge) -> bool:
+        return silence.is_silent_since_sent() and self._may_switch_endpoint()
 
     async def _read_response(
         self, attempt: Attempt, endpoint: Endpoint, response: ResponseInfo
@@ -327,13 +319,10 @@
     ) -> AttemptResult:
         self._splitter = EventSplitter(self._splitter.last_event_id)
         while True:
-            wait_until = self._event_wait_until(attempt)
+            wait_until = self._event_due_at()
             part = await attempt.read_body_part(wait_until)
             if isinstance(part, TimedOut) and wait_until < self._deadline:
-                if (
-                    self._is_inactive_in_stream(endpoint)
-                    and self._may_switch_endpoint()
-                ):
+                if self._silence.is_silent() and self._may_switch_endpoint():
                     return OutcomeUnknown(f"{endpoint.host} stopped sending events")
                 continue
             match part:
@@ -355,27 +344,16 @@
                         f"{endpoint.host} did not complete its stream in time"
                     )
 
-    def _event_wait_until(self, attempt: Attempt) -> float:
-        """Return the time until which to wait for the next event of a stream.
+    def _event_due_at(self) -> float:
+        """Return the time from which on a missing event of a stream shows a fault.
 
         This is the deadline if no retry is possible.
         """
-        waits = self._head_waits(attempt)
-        if not waits:
+        if self._silence is None:
             return self._deadline
         if self.log.first_part_at is None:
-            index = 0 if self._has_other_requests(attempt.endpoint) else -1
-            return max(now() + MIN_INACTIVITY_SECONDS, waits[index][0])
-        timeout = event_timeout(
-            self._route.max_gap_seconds or self._route.latency_target_seconds,
-            has_other_requests=self._has_other_requests(attempt.endpoint),
-        )
-        return min(self._deadline, now() + timeout)
-
-    def _is_inactive_in_stream(self, endpoint: Endpoint) -> bool:
-        return self._forwarder.is_inactive_since(
-            endpoint, now() - MIN_INACTIVITY_SECONDS
-        )
+            return self._silence.first_event_due_at()
+        return self._silence.next_event_due_at()
 
     async def _send_events(
         self, attempt: Attempt, response: ResponseInfo, data: bytes
--- a/tests/decisions/test_attempt_timeouts.py
+++ b/tests/decisions/test_attempt_timeouts.py
@@ -8,12 +8,7 @@
 
 import pytest
 
-from amaranthhollow.decisions.attempt_timeouts import (
-    event_timeout,
-    head_timeout,
-    last_head_timeout,
-    reading_timeout,
-)
+from amaranthhollow.decisions.attempt_timeouts import event_timeout, head_deadlines
 from amaranthhollow.decisions.prompt_times import PromptTimes
 
 TARGET_SECONDS = 1.0
@@ -64,9 +59,9 @@
         ahead = max(0.0, engine.reads_until - now) * READ_TOKENS_PER_SECOND
         read_at = engine.read(tokens, now)
         alone = times.reading_seconds(int(ahead) + tokens)
-        timeout = head_timeout(deadline - now, TARGET_SECONDS, reading_timeout(alone))
-        if read_at > now + timeout and attempt < 2:
-            retry = (now + timeout, next(order), tokens, deadline, attempt + 1)
+        left_at = head_deadlines(now, deadline, TARGET_SECONDS, alone).suspect_at
+        if read_at > left_at and attempt < 2:
+            retry = (left_at, next(order), tokens, deadline, attempt + 1)
             heapq.heappush(queue, retry)
     return sum(engine.read_tokens for engine in engines) / asked
 
@@ -82,26 +77,30 @@
     assert play(times, rate=100.0) <= 1.05
 
 
+def deadlines(reading_seconds, left=DEADLINE_SECONDS):
+    return head_deadlines(0.0, left, TARGET_SECONDS, reading_seconds)
+
+
 def test_wait_grows_with_the_prompts_ahead(times):
-    alone = reading_timeout(times.reading_seconds(LONG_PROMPT))
-    behind = reading_timeout(times.reading_seconds(3 * LONG_PROMPT))
+    alone = deadlines(times.reading_seconds(LONG_PROMPT)).suspect_at
+    behind = deadlines(times.reading_seconds(3 * LONG_PROMPT)).suspect_at
 
     assert behind > alone > LONG_PROMPT / READ_TOKENS_PER_SECOND
 
 
-def test_endpoint_without_prompts_is_left_after_the_target():
-    assert head_timeout(10.0, TARGET_SECONDS, 0.0) == TARGET_SECONDS
-
+def test_endpoint_without_prompts_is_suspected_after_the_target():
+    assert deadlines(0.0).suspect_at == TARGET_SECONDS
 
-def test_short_prompt_is_not_left_before_the_target(times):
-    timeout = reading_timeout(times.reading_seconds(100))
 
-    assert head_timeout(10.0, TARGET_SECONDS, timeout) == TARGET_SECONDS
+def test_short_prompt_is_not_suspected_before_the_target(times):
+    assert deadlines(times.reading_seconds(100)).suspect_at == TARGET_SECONDS
 
 
 @pytest.mark.parametrize("left", [0.5, 4.0, 10.0])
 def test_half_of_the_time_is_kept_for_another_attempt(left):
-    assert head_timeout(left, TARGET_SECONDS, reading_timeout(None)) == left / 2
+    found = deadlines(None, left)
+
+    assert found.suspect_at == found.leave_at == left / 2
 
 
 def test_too_few_samples_tell_nothing():
@@ -118,10 +117,12 @@
 
 
 def test_stalled_stream_is_left_in_time_for_another_attempt():
-    assert event_timeout(0.5, has_other_requests=False) <= last_head_timeout(10.0)
+    timeout = event_timeout(0.5, has_other_requests=False)
+
+    assert timeout <= deadlines(0.0).leave_at
 
 
 def test_wait_for_a_head_has_an_end_without_any_evidence(times):
-    timeout = reading_timeout(times.reading_seconds(LONG_PROMPT))
+    found = deadlines(times.reading_seconds(LONG_PROMPT))
 
-    assert head_timeout(10.0, TARGET_SECONDS, timeout) < last_head_timeout(10.0) <= 5.0
+    assert found.suspect_at < found.leave_at <= 5.0
