--- a/src/amaranthhollow/entry/endpoint_statements.py
+++ b/src/amaranthhollow/entry/endpoint_statements.py
@@ -50,6 +50,7 @@
                 "endpoint rests",
                 extra={
                     "endpoint": endpoint_id,
+                    "incarnation": incarnation,
                     "stated": response.rest_seconds,
                     "seconds": seconds,
                 },
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -207,6 +207,7 @@
                 "resumes": request.resumed_id,
                 "after_event": request.last_event_id,
                 "cache_sources": request_log.cache_sources,
+                "relays": request_log.relays,
                 "failures": request_log.failures,
                 "prompt": _shared_parts(request) if request_log.failures else [],
                 "first_part": first_part and round(first_part, 3),
--- a/src/amaranthhollow/serving/attempt.py
+++ b/src/amaranthhollow/serving/attempt.py
@@ -101,6 +101,11 @@
         )
         return True
 
+    @property
+    def relay(self) -> str | None:
+        """The address of the peer that relays the request, if any."""
+        return None if self._connection is None else self._connection.relay
+
     async def read_head(
         self, wait_until: float
     ) -> ResponseInfo | ConnectionLost | TimedOut:
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -28,13 +28,15 @@
 class RequestLog:
     """Record of one forwarded request, for its log event.
 
-    ``software_versions`` are those of the endpoints that sent events of a stream, and
-    ``sent_at`` is the time of the last attempt.
+    ``software_versions`` are those of the endpoints that sent events of a stream,
+    ``relays`` the addresses of the peers that relayed attempts, and ``sent_at`` is the
+    time of the last attempt.
     """
 
     endpoints: list[str] = field(default_factory=list)
     software_versions: list[str] = field(default_factory=list)
     cache_sources: list[str] = field(default_factory=list)
+    relays: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     sent_at: float = 0.0
     first_part_at: float | None = None
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -205,6 +205,8 @@
         self._sent_count += 1
         self._began_at = None
         self.log.sent_at = attempt.sent_at
+        if attempt.relay is not None:
+            self.log.relays.append(attempt.relay)
         self._silence = self._new_silence_judge(attempt)
         self._exchange.continues_after_disconnect = (
             self._route.kind is RouteKind.NON_IDEMPOTENT
--- a/tests/standins/cut_daemon.py
+++ b/tests/standins/cut_daemon.py
@@ -1,5 +1,7 @@
 """Runs a daemon whose links to the endpoints can be cut while all others live on.
 
+It connects to endpoints from its own address, by which they tell hosts apart.
+
 The file that ``AMARANTHHOLLOW_TEST_CUT`` names holds the state of the links: empty, or
 ``hang`` (nothing passes), ``reset`` (connections are reset, new ones hang) or
 ``refuse`` (connections live on, new ones are refused).
@@ -8,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 from pathlib import Path
 
@@ -63,8 +66,8 @@
     """Ignore a call."""
 
 
-def install(links: CutLinks) -> None:
-    """Let every event loop of this process connect to endpoints through ``links``."""
+def install(links: CutLinks, address: str) -> None:
+    """Let every event loop connect to endpoints through ``links`` from ``address``."""
     connect = asyncio.BaseEventLoop.create_connection
     tasks: list[asyncio.Task] = []
 
@@ -75,7 +78,9 @@
             tasks.append(loop.create_task(links.run()))
             await asyncio.sleep(POLL_SECONDS)
         await links.check_new()
-        transport, protocol = await connect(loop, factory, host, port, **options)
+        transport, protocol = await connect(
+            loop, factory, host, port, local_addr=(address, 0), **options
+        )
         links.add(transport)
         return transport, protocol
 
@@ -83,7 +88,9 @@
 
 
 if __name__ == "__main__":
-    install(CutLinks(Path(os.environ["AMARANTHHOLLOW_TEST_CUT"])))
+    settings = json.loads(Path(os.environ["AMARANTHHOLLOW_NODE_FILE"]).read_text())
+    cut_links = CutLinks(Path(os.environ["AMARANTHHOLLOW_TEST_CUT"]))
+    install(cut_links, settings["address"])
     from amaranthhollow.entry.command import run
 
     run()
--- a/tests/standins/scripted_endpoint.py
+++ b/tests/standins/scripted_endpoint.py
@@ -11,8 +11,10 @@
 
 __all__ = [
     "Arrival",
+    "Rejection",
     "ScriptedEndpoint",
     "plain_response",
+    "rejection",
     "reset_connection",
     "sse_event",
     "stream_response",
@@ -29,9 +31,12 @@
 
 @dataclass(frozen=True)
 class Arrival:
+    """A request; ``sender`` is the IP address that it came from."""
+
     request_line: str
     headers: dict[str, str]
     body: bytes
+    sender: str = ""
     at: float = field(default_factory=time.monotonic)
 
     @property
@@ -39,12 +44,22 @@
         return self.headers["x-request-id"]
 
 
+@dataclass(frozen=True)
+class Rejection:
+    """A response that told ``sender`` to stay away for ``rest_seconds``."""
+
+    sender: str
+    rest_seconds: float
+    at: float = field(default_factory=time.monotonic)
+
+
 @dataclass
 class ScriptedEndpoint:
     """Responds by the script of the path, else the next queued or the default one.
 
     While ``rate_limit`` is set, every response states it as the limit for all hosts,
-    and while ``is_leaving``, that the endpoint leaves.
+    and while ``is_leaving``, that the endpoint leaves. ``rejections`` and
+    ``leaving_told`` record which hosts were told to stay away, or that it leaves.
     """
 
     endpoint_id: str
@@ -56,6 +71,8 @@
     lost_connections: int = 0
     rate_limit: float | None = None
     is_leaving: bool = False
+    rejections: list[Rejection] = field(default_factory=list)
+    leaving_told: list[tuple[str, float]] = field(default_factory=list)
     server: asyncio.Server | None = None
 
     async def start(self, address: str, port: int) -> asyncio.Server:
@@ -66,8 +83,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connection_count += 1
+        sender = writer.get_extra_info("peername")[0]
         try:
-            while arrival := await _read_request(reader):
+            while arrival := await _read_request(reader, sender):
                 self.arrivals.append(arrival)
                 if not await self._run_script(
                     self._script_for(arrival), arrival, writer
@@ -94,7 +112,9 @@
         for step in script:
             match step:
                 case bytes():
-                    writer.write(self._with_headers(step, arrival))
+                    data = self._with_headers(step, arrival)
+                    self._record_statements(data, arrival)
+                    writer.write(data)
                     await writer.drain()
                 case float():
                     await asyncio.sleep(step)
@@ -112,6 +132,14 @@
         self.server.close()
         reset_connection(writer)
 
+    def _record_statements(self, data: bytes, arrival: Arrival) -> None:
+        head = data.partition(b"\r\n\r\n")[0]
+        if b"\r\nServer-Leaving: 1" in head:
+            self.leaving_told.append((arrival.sender, time.monotonic()))
+        if head.startswith(b"HTTP/1.1 503 ") and b"\r\nRetry-After: " in head:
+            value = head.partition(b"\r\nRetry-After: ")[2].partition(b"\r\n")[0]
+            self.rejections.append(Rejection(arrival.sender, float(value)))
+
     def _with_headers(self, step: bytes, arrival: Arrival) -> bytes:
         """Fill in the request's identifier, and add the limit to a response head."""
         data = step.replace(b"$ID", arrival.request_id.encode())
@@ -134,7 +162,7 @@
     writer.transport.abort()
 
 
-async def _read_request(reader: asyncio.StreamReader) -> Arrival | None:
+async def _read_request(reader: asyncio.StreamReader, sender: str) -> Arrival | None:
     head = await reader.readuntil(b"\r\n\r\n")
     line, *rest = head.decode("latin-1").split("\r\n")
     headers = {}
@@ -142,7 +170,7 @@
         name, _, value = item.partition(":")
         headers[name.lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return Arrival(line, headers, body)
+    return Arrival(line, headers, body, sender)
 
 
 def plain_response(
@@ -156,6 +184,12 @@
     return [head % (status, stamp, extra_headers, len(body)) + body]
 
 
+def rejection(seconds: float) -> list[Step]:
+    """Return a response that the endpoint wants nothing of the host for a time."""
+    headers = b"X-Not-Run: 1\r\nRetry-After: %g\r\n" % seconds
+    return plain_response(status=503, extra_headers=headers)
+
+
 def sse_event(number: int) -> bytes:
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
