Keep the rest of an endpoint while its entry is missing from the list

An engine had asked a host to stay away for 6 s and got 192 requests of it in that time. Its entry had been missing from the list for a second and a half, as after an outage of the store or a late heartbeat; with the entry, the host dropped what the engine had said.

A rest now ends at its time only. That an endpoint leaves is still dropped with its entry, since its state in the table outlives the entry for an hour.

--- a/src/amaranthhollow/decisions/endpoint_statements.py
+++ b/src/amaranthhollow/decisions/endpoint_statements.py
@@ -67,7 +67,12 @@
             return None
         return until
 
-    def forget(self, endpoint_id: str) -> bool:
-        """Drop the statements of an endpoint; return whether it was leaving."""
-        self._rest_by_id.pop(endpoint_id, None)
+    def expire(self, now: float) -> None:
+        """Drop the rests that have ended."""
+        for endpoint_id, (_, until) in list(self._rest_by_id.items()):
+            if until <= now:
+                del self._rest_by_id[endpoint_id]
+
+    def forget_leaving(self, endpoint_id: str) -> bool:
+        """Drop that an endpoint leaves; return whether that was known."""
         return self._leaving_incarnation_by_id.pop(endpoint_id, None) is not None
--- a/src/amaranthhollow/entry/endpoint_statements.py
+++ b/src/amaranthhollow/entry/endpoint_statements.py
@@ -103,13 +103,18 @@
         return min((end - instant if end else 0.0 for end in ends), default=0.0)
 
     def update(self) -> None:
-        """Apply statements to endpoints that are listed by now, and drop old ones."""
+        """Apply statements to endpoints that are listed by now, and drop old ones.
+
+        A rest outlasts a gap in the list: the endpoint may be listed again before it
+        ends.
+        """
         if not self._statements.has_any:
             return
+        self._statements.expire(now())
         for endpoint in self._host.site.endpoints.all():
             if endpoint.is_listed:
                 self._mark_leaving(endpoint.host)
-            elif self._statements.forget(endpoint.host):
+            elif self._statements.forget_leaving(endpoint.host):
                 self._host.membership.table.remove(LEAVING_FACT, endpoint.host)
 
     def _mark_leaving(self, endpoint_id: str) -> None:
--- a/tests/decisions/test_endpoint_statements.py
+++ b/tests/decisions/test_endpoint_statements.py
@@ -50,10 +50,13 @@
     assert statements.rests_until("e", 7, now=110.0) == 160.0
 
 
-def test_forgotten_endpoint_has_said_nothing():
+def test_leaving_ends_when_it_is_forgotten_and_a_rest_at_its_time():
     statements = EndpointStatements()
     statements.apply(statements.leaving_fact("e", 7))
     statements.rest("e", 7, until=105.0)
 
-    assert statements.forget("e")
+    assert statements.forget_leaving("e")
+    statements.expire(104.9)
+    assert statements.rests_until("e", 7, now=104.9) == 105.0
+    statements.expire(105.0)
     assert not statements.has_any
