Keep what an endpoint says at its address, for all that had started there by then

An engine that had just started again asked for a rest of 6 s and got 184 requests of that host in it; one that said that it leaves got requests 2.1 s after, of which 72 in a second. The host had filed the statement under the incarnation, or the name, that the list still had, and dropped it when the list named the new one. That takes a heartbeat, and for as long as the store is away no list comes.

The class of fault: a statement is filed under a name that changes, not under what was heard. Whoever spoke had started by then and listened at that address, so the statement now holds for the endpoints there that had started when it was heard. What is shared with peers is what it was: the name and incarnation, as a fact.

--- a/src/amaranthhollow/entry/endpoint_statements.py
+++ b/src/amaranthhollow/entry/endpoint_statements.py
@@ -42,10 +42,11 @@
         Responses need not be signed: to send nothing to an endpoint that has not said
         so costs its share of the work, to go on sending to one that has costs requests.
         """
+        address, heard_at = endpoint.address_and_port, self._host.wall_time()
         endpoint_id, incarnation = endpoint.host, endpoint.listed.incarnation
         if response.rest_seconds is not None:
             seconds = min(response.rest_seconds, MAX_REST_SECONDS)
-            self._statements.rest(endpoint_id, incarnation, now() + seconds)
+            self._statements.rest(address, heard_at, now() + seconds)
             log.info(
                 "endpoint rests",
                 extra={
@@ -56,9 +57,8 @@
                 },
             )
         if response.is_leaving:
-            fact = self._statements.leaving_fact(endpoint_id, incarnation)
-            if fact is not None:
-                self.apply_facts(self._host.membership.merge([fact], now()))
+            self._statements.hear_leaving(address, heard_at)
+            self._publish_leaving(endpoint)
 
     def apply_facts(self, facts: Iterable[Fact]) -> None:
         """Apply the facts that endpoints leave."""
@@ -77,8 +77,7 @@
         """Return whether this host may send a request to an endpoint now."""
         if not self._statements.has_any:
             return True
-        endpoint_id, incarnation = endpoint.host, endpoint.listed.incarnation
-        if self._statements.is_leaving(endpoint_id, incarnation):
+        if self._is_leaving(endpoint):
             return False
         if not self.is_resting(endpoint):
             return True
@@ -87,9 +86,7 @@
 
     def is_resting(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint wants no more requests of this host for now."""
-        endpoint_id, incarnation = endpoint.host, endpoint.listed.incarnation
-        until = self._statements.rests_until(endpoint_id, incarnation, now())
-        return until is not None
+        return self._rests_until(endpoint, now()) is not None
 
     def rest_seconds(self, service: str) -> float:
         """Return for how long all endpoints of a service rest; 0 if one does not."""
@@ -97,8 +94,8 @@
             return 0.0
         instant = now()
         ends = [
-            self._statements.rests_until(e.host, e.listed.incarnation, instant)
-            for e in self._host.site.usable_endpoints(service, instant)
+            self._rests_until(endpoint, instant)
+            for endpoint in self._host.site.usable_endpoints(service, instant)
         ]
         return min((end - instant if end else 0.0 for end in ends), default=0.0)
 
@@ -110,13 +107,37 @@
         """
         if not self._statements.has_any:
             return
-        self._statements.expire(now())
+        self._statements.expire(now(), self._host.wall_time())
         for endpoint in self._host.site.endpoints.all():
             if endpoint.is_listed:
+                if self._has_said_leaving(endpoint):
+                    self._publish_leaving(endpoint)
                 self._mark_leaving(endpoint.host)
             elif self._statements.forget_leaving(endpoint.host):
                 self._host.membership.table.remove(LEAVING_FACT, endpoint.host)
 
+    def _is_leaving(self, endpoint: Endpoint) -> bool:
+        endpoint_id, incarnation = endpoint.host, endpoint.listed.incarnation
+        return self._statements.is_leaving(
+            endpoint_id, incarnation
+        ) or self._has_said_leaving(endpoint)
+
+    def _has_said_leaving(self, endpoint: Endpoint) -> bool:
+        return self._statements.has_said_leaving(
+            endpoint.address_and_port, endpoint.listed.incarnation
+        )
+
+    def _rests_until(self, endpoint: Endpoint, instant: float) -> float | None:
+        return self._statements.rests_until(
+            endpoint.address_and_port, endpoint.listed.incarnation, instant
+        )
+
+    def _publish_leaving(self, endpoint: Endpoint) -> None:
+        """Tell the peers that an endpoint leaves, unless this is known."""
+        fact = self._statements.leaving_fact(endpoint.host, endpoint.listed.incarnation)
+        if fact is not None:
+            self.apply_facts(self._host.membership.merge([fact], now()))
+
     def _mark_leaving(self, endpoint_id: str) -> None:
         """Let an endpoint that leaves be replaced, as if the list said that it does."""
         endpoints = self._host.site.endpoints
