Hand endpoints the time that is left once their connection is open

A host without links, two of whose peers were frozen, handed endpoints up to 1.05 s more than its caller had left (0.5 s are tolerated; BUDGET): the time was taken before the connection opened, and each frozen peer that it asks to relay costs half a second.

--- a/src/amaranthhollow/serving/attempt.py
+++ b/src/amaranthhollow/serving/attempt.py
@@ -71,7 +71,7 @@
 
 @dataclass
 class Attempt:
-    """A request sent to one endpoint; callers of ``send`` must call ``close``."""
+    """A request sent to one endpoint; callers of ``connect`` must call ``close``."""
 
     endpoint: Endpoint
     pool: ConnectionPool
@@ -81,25 +81,24 @@
     _connection: EndpointConnection | None = None
     _is_complete: bool = field(default=False)
 
-    async def send(
-        self, request: CallerRequest, dispatch: Dispatch, *, needs_fresh: bool
-    ) -> bool:
-        """Send the request; return False if no connection can be opened.
+    async def connect(self, *, needs_fresh: bool) -> bool:
+        """Return whether there is a connection, which may take long to open.
 
         With ``needs_fresh``, a pooled connection is reused only shortly after its
         last use.
         """
         address = address_of(self.endpoint)
         self._connection = await self.pool.acquire(address, needs_fresh=needs_fresh)
-        if self._connection is None:
-            return False
+        return self._connection is not None
+
+    def send(self, request: CallerRequest, dispatch: Dispatch) -> None:
+        """Send the request over the connection."""
         self.sent_at = now()
         self._connection.send(
             self.codec.encode_request(request, dispatch),
             self.codec.expected_echo(request),
             expects_body=request.head.method != b"HEAD",
         )
-        return True
 
     @property
     def relay(self) -> str | None:
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -189,6 +189,12 @@
     async def _send_and_read(
         self, attempt: Attempt, endpoint: Endpoint, cache_source: str | None
     ) -> AttemptResult:
+        is_retryable = self._route.may_retry_unknown
+        if not await attempt.connect(needs_fresh=not is_retryable):
+            self._forwarder.record_attempt_failure(endpoint, is_unreachable=True)
+            return NotRun(f"connection to {endpoint.host} failed")
+        if self._deadline - now() < MIN_ATTEMPT_SECONDS:
+            return NotRun(f"connection to {endpoint.host} opened too late")
         dispatch = Dispatch(
             endpoint_id=endpoint.host,
             seconds_left=self._deadline - now() - ENDPOINT_MARGIN_SECONDS,
@@ -197,11 +203,7 @@
             last_event_id=self._splitter.last_event_id,
             cache_source=cache_source,
         )
-        is_retryable = self._route.may_retry_unknown
-        sent = await attempt.send(self._request, dispatch, needs_fresh=not is_retryable)
-        if not sent:
-            self._forwarder.record_attempt_failure(endpoint, is_unreachable=True)
-            return NotRun(f"connection to {endpoint.host} failed")
+        attempt.send(self._request, dispatch)
         self._sent_count += 1
         self._began_at = None
         self.log.sent_at = attempt.sent_at
