Store a version of endpoints that has just come as soon as a host sees it

After the loss of all hosts, a caller took up a stream of unknown origin and got 200 of v1, though v2 had been listed and used for 1.2 s before the loss and was gone when the hosts came back: had the stream begun at v2, its text would be joined of two versions (ORDER). The versions that a host has seen were stored every 2 s at most, unless an origin had to be stored as well, and a version that came and went between two records was in none, while the history counted as complete.

A version that the last record lacks is now stored as soon as the writer sees it, within 0.7 s. tests/entry/test_rejoined_streams.py plays what a system like ours reported, at four moments of the loss and with the first version in service, leaving, or gone while all hosts are down: no stream was joined of two versions before or after this change (12 of 12), and four of these fail if the records' versions are dropped at a restart.

Left: a version that comes and goes within 0.7 s of a loss of all hosts.

--- a/src/amaranthhollow/entry/stream_log.py
+++ b/src/amaranthhollow/entry/stream_log.py
@@ -56,6 +56,7 @@
         self._pending: dict[str, StreamOrigin] = {}
         self._next_write_at = 0.0
         self._has_pending = asyncio.Event()
+        self._written_versions: dict[str, frozenset[str]] = {}
         self._read_at = float("-inf")
         self._reading: asyncio.Task[None] | None = None
         self._has_read = host.settings.is_first_start
@@ -74,6 +75,18 @@
         if len(self._pending) > MAX_PENDING_ORIGINS:
             del self._pending[next(iter(self._pending))]
 
+    def update(self) -> None:
+        """Store a version that has come since the last record soon, as origins are.
+
+        It may have begun streams, and be gone when hosts read the record.
+        """
+        if self.writers() or not self._has_read:
+            return
+        versions = self._history.versions_since(now() - MIN_STREAM_SECONDS)
+        for service, found in versions.items():
+            if not self._written_versions.get(service, frozenset()).issuperset(found):
+                self._has_pending.set()
+
     async def run(self) -> None:
         """Write records until cancelled, while this host is the one to do so."""
         while True:
@@ -138,12 +151,9 @@
         pending, self._pending = self._pending, {}
         self._has_pending.clear()
         offset = wall_time - now()
-        record = StreamRecord(
-            wall_time,
-            max(0.0, self._history.complete_since + offset),
-            self._history.versions_since(now() - MIN_STREAM_SECONDS),
-            pending,
-        )
+        versions = self._history.versions_since(now() - MIN_STREAM_SECONDS)
+        complete_since = max(0.0, self._history.complete_since + offset)
+        record = StreamRecord(wall_time, complete_since, versions, pending)
         number = int(wall_time / WRITE_INTERVAL_SECONDS) % RECORD_COUNT
         key = f"{RECORD_PREFIX}{number}"
         write = Write(key, msgspec.msgpack.encode(record))
@@ -151,6 +161,10 @@
         if isinstance(stored, Err):
             self._pending = {**pending, **self._pending}
             self._has_pending.set()
+        else:
+            self._written_versions = {
+                service: frozenset(found) for service, found in versions.items()
+            }
 
 
 def _decode_record(value: bytes) -> StreamRecord | None:
--- a/src/amaranthhollow/entry/stream_origins.py
+++ b/src/amaranthhollow/entry/stream_origins.py
@@ -130,6 +130,7 @@
         the only version tells where any of its streams began.
         """
         self._observe_versions()
+        self._log.update()
         self._table.expire(self._host.wall_time())
         versions_by_service = self._history.versions_since(now() - MIN_STREAM_SECONDS)
         mixed = {s for s, versions in versions_by_service.items() if len(versions) > 1}
