Let the endpoints of the soak leave and ask for rests, and check both rules

Half of their rejections name a time of 0.2 to 3 s, and the endpoint that is released says that it leaves up to 2.5 s before its entry does. The proxies keep the host's address, by which endpoints tell hosts apart. The draws of faults are those of before; the excuses of the two rules are kept apart from those of the others.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -36,6 +36,7 @@
     request_id: str
     kind: str
     response: HttpResponse | None = None
+    sent_at: float = field(default_factory=time.monotonic)
     responded_at: float = 0.0
 
 
--- a/tests/soak/endpoint.py
+++ b/tests/soak/endpoint.py
@@ -11,6 +11,7 @@
     ScriptedEndpoint,
     Step,
     plain_response,
+    rejection,
     stream_response,
 )
 
@@ -28,6 +29,8 @@
 REJECTION = plain_response(
     status=503, extra_headers=b"X-Not-Run: 1\r\n", body=b"", has_server_stamp=False
 )
+REST_PROBABILITY = 0.5
+REST_SECONDS = (0.2, 0.8, 1.5, 3.0)
 
 
 def expected_body(request_id: str) -> bytes:
@@ -48,9 +51,13 @@
 
 @dataclass
 class SoakEndpoint(ScriptedEndpoint):
-    """Runs, rejects, fails or aborts each request, by a seeded random choice."""
+    """Runs, rejects, fails or aborts each request, by a seeded random choice.
+
+    Some rejections ask the host to stay away for a time.
+    """
 
     random: Random = field(default_factory=Random)
+    rest_random: Random = field(default_factory=Random)
     executed: list[Arrival] = field(default_factory=list)
     fault_share: float = 0.05
     version: str = "v1"
@@ -58,6 +65,8 @@
     def _script_for(self, arrival: Arrival) -> list[Step]:
         draw = self.random.random() / self.fault_share
         if draw < 0.4:
+            if self.rest_random.random() < REST_PROBABILITY:
+                return rejection(self.rest_random.choice(REST_SECONDS))
             return REJECTION
         self.executed.append(arrival)
         if draw < 0.6:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,7 +25,10 @@
 
 @dataclass
 class Proxy:
-    """Relays bytes to and from ``target``, with the fault that ``link_state`` names."""
+    """Relays bytes to and from ``target``, with the fault that ``link_state`` names.
+
+    It connects from the address of the host, by which the target tells hosts apart.
+    """
 
     target: tuple[str, int]
     link_state: LinkState = LinkState.HEALTHY
@@ -47,8 +50,9 @@
         if self.link_state is LinkState.RESETTING:
             return reset_connection(writer)
         try:
+            sender = writer.get_extra_info("peername")[0]
             upstream_reader, upstream_writer = await asyncio.open_connection(
-                *self.target
+                *self.target, local_addr=(sender, 0)
             )
         except OSError:
             return reset_connection(writer)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,7 @@
     find_lost_share,
     find_mixed_streams,
 )
+from tests.statement_rule import requests_during_rests, requests_while_leaving
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -44,6 +45,8 @@
 STREAM_CALLERS = 6
 VERSIONS_BY_ENDPOINT = {31: "v1", 32: "v1", 33: "v2"}
 DRAIN_SECONDS = 2.2
+# Before the list says so.
+LEAVING_SECONDS = (0.0, 0.5, 2.5)
 STABLE_SECONDS = 3.0
 LIMITED_RATES = (0.5, 1.0, 3.0)
 LINK_STATES = ("hang", "reset", "refuse")
@@ -75,6 +78,7 @@
         self.limit_random = Random(f"limits-{seed}")
         self.stream_random = Random(f"streams-{seed}")
         self.link_random = Random(f"links-{seed}")
+        self.rest_random = Random(f"rests-{seed}")
         self.stream_callers: list[StreamCaller] = []
         self.limited: SoakEndpoint | None = None
         self.limit_record = LimitRecord(0.0, float("inf"))
@@ -86,14 +90,22 @@
         self.configuration_version = 1
         self.faulty_hosts: set[int] = set()
         self.excuses: list[tuple[str, float, float]] = []
+        # Of the rules on what endpoints say; a cut host is told what it cannot hear.
+        self.stops: list[tuple[str, float, float]] = []
+        self.cuts: list[tuple[str, float, float]] = []
+        self.left_endpoint: tuple[SoakEndpoint, float] | None = None
 
     def host_name(self, number: int) -> str:
         return f"host-{number}"
 
+    def address(self, number: int) -> str:
+        return f"{self.site.network}.{number}"
+
     async def start(self) -> None:
         self.site.daemon_module = CUT_DAEMON
         for number in ENDPOINT_NUMBERS:
             endpoint = SoakEndpoint(f"e{number}", random=Random(self.random.random()))
+            endpoint.rest_random = Random(self.rest_random.random())
             endpoint.version = VERSIONS_BY_ENDPOINT[number]
             self.site.endpoints[f"e{number}"] = endpoint
             address = f"{self.site.network}.{number}"
@@ -176,16 +188,25 @@
             await asyncio.sleep(random.uniform(0.2, 1.5))
             numbers = random.sample(HOST_NUMBERS, random.randint(1, 2))
             state = random.choice(LINK_STATES)
+            started_at = time.monotonic()
             for number in numbers:
                 self.site.set_links(self.host_name(number), state)
+                self.cuts.append((self.address(number), started_at, float("inf")))
             await asyncio.sleep(random.uniform(0.3, 3.0))
             for number in numbers:
                 self.site.set_links(self.host_name(number), "")
+                self.cuts.remove((self.address(number), started_at, float("inf")))
+                self.cuts.append((self.address(number), started_at, time.monotonic()))
 
     async def release_one_endpoint(self) -> None:
-        """Replace an endpoint by one of another software version at its address."""
+        """Replace an endpoint by one of another software version at its address.
+
+        It says that it leaves in its responses for longer than its entry does.
+        """
         await asyncio.sleep(self.stream_random.uniform(1.0, 5.0))
         endpoint_id, proxy = f"e{ENDPOINT_NUMBERS[0]}", self.proxies[0]
+        self.site.endpoints[endpoint_id].is_leaving = True
+        await asyncio.sleep(self.rest_random.choice(LEAVING_SECONDS))
         address = f"{self.site.network}.{ENDPOINT_NUMBERS[0] + 100}"
         entry = {"slots": 50, "version": "v1", "state": "draining"}
         self.site.put_endpoint_entry(endpoint_id, address, "plain-app", **entry)
@@ -193,8 +214,11 @@
         started_at = time.monotonic()
         proxy.set_link_state(LinkState.RESETTING)
         self.site.endpoints[endpoint_id].version = "v2"
+        self.site.endpoints[endpoint_id].is_leaving = False
+        self.left_endpoint = (self.site.endpoints[endpoint_id], started_at)
         proxy.set_link_state(LinkState.HEALTHY)
-        entry = {"slots": 50, "version": "v2", "born": 2}
+        born = int(time.time() * 1000)
+        entry = {"slots": 50, "version": "v2", "born": born}
         self.site.put_endpoint_entry(endpoint_id, address, "plain-app", **entry)
         self.excuse(HOST_NUMBERS, started_at)
 
@@ -214,6 +238,38 @@
         """Exclude hosts that have been disturbed from a time until now."""
         self.excuses += [(f"{number}", since, time.monotonic()) for number in numbers]
 
+    def statement_violations(self) -> list[str]:
+        """Return what endpoints got while they rested or were leaving."""
+
+        def is_stopped(host: str, start: float, end: float) -> bool:
+            return _overlaps(self.stops, host, start, end)
+
+        def is_disturbed(host: str, start: float, end: float) -> bool:
+            return is_stopped(host, start, end) or _overlaps(
+                self.cuts, host, start - 0.1, end
+            )
+
+        endpoints = self.site.endpoints.values()
+        found = [
+            text for e in endpoints for text in requests_during_rests(e, is_disturbed)
+        ]
+        if self.left_endpoint is None:
+            return found
+        endpoint, left_at = self.left_endpoint
+        # A response may be lost on its way as long as links are disturbed.
+        sent_at_by_request = {
+            sent.request_id: min(sent.sent_at, left_at)
+            for caller in self.callers
+            for sent in caller.sent_requests
+        } | {
+            found.request_id: min(found.sent_at, left_at)
+            for caller in self.stream_callers
+            for found in caller.tries
+        }
+        return found + requests_while_leaving(
+            endpoint, sent_at_by_request, is_disturbed
+        )
+
     def limit_violations(self) -> list[str]:
         """Return whether the limited endpoint got more than is allowed."""
         record = self.limit_record
@@ -284,6 +340,8 @@
                 disturbed = ()
                 await asyncio.sleep(pause / 4)
         self.excuse(disturbed, started_at)
+        stops = [(self.address(n), started_at, time.monotonic()) for n in disturbed]
+        self.stops += stops
 
     async def restore_store(self) -> None:
         """Let the store return from copies of random ages, until cancelled."""
@@ -378,6 +436,12 @@
         return found
 
 
+def _overlaps(
+    spans: Iterable[tuple[str, float, float]], host: str, start: float, end: float
+) -> bool:
+    return any(name == host and s <= end and e >= start for name, s, e in spans)
+
+
 def _host_of(request_id: str) -> str:
     """Return the number of the host to which a caller sent a request."""
     return request_id.removeprefix("c").partition("-")[0]
@@ -402,6 +466,7 @@
     assert soak.duty_violations() == []
     assert soak.limit_violations() == []
     assert soak.stream_violations() == []
+    assert soak.statement_violations() == []
     assert len(soak.recovery_requests) >= len(soak.callers)
 
 
@@ -415,4 +480,5 @@
     assert soak.duty_violations() == []
     assert soak.limit_violations() == []
     assert soak.stream_violations() == []
+    assert soak.statement_violations() == []
     assert len(soak.recovery_requests) >= len(soak.callers)
