Test that a host tells its peers that an endpoint leaves

A change that kept the fact to the host that was told left all tests green; the new test is red on it and passes.

--- a/tests/entry/test_endpoint_statements.py
+++ b/tests/entry/test_endpoint_statements.py
@@ -69,6 +69,21 @@
     assert {response.status for response in responses} == {200}
 
 
+# A host kept to itself what an endpoint had told it.
+async def test_leaving_endpoint_gets_no_request_of_a_host_that_only_a_peer_told(
+    site, addresses
+):
+    leaving = site.endpoints["e1"]
+    leaving.is_leaving = True
+    await send_for(site, addresses[:1], 0.6)
+    assert leaving.leaving_told
+    leaving.is_leaving = False
+    await asyncio.sleep(1.0)
+    await send_for(site, addresses[1:], 1.0)
+
+    assert not arrivals_after(leaving, 0.0, addresses[1])
+
+
 async def test_leaving_endpoint_gets_no_request_of_a_host_without_store(
     site, addresses
 ):
