--- a/tests/decisions/test_endpoint_statements.py
+++ b/tests/decisions/test_endpoint_statements.py
@@ -71,6 +71,7 @@
     statements.rest(ADDRESS, HEARD_AT, until=105.0)
     statements.rest(ADDRESS, HEARD_AT + 1.0, until=160.0)
 
+    assert statements.rests_until(ADDRESS, BEFORE, now=101.0) == 160.0
     assert statements.rests_until(ADDRESS, BEFORE, now=110.0) == 160.0
 
 
