Exchange pings, echoes and documents with hosts of earlier versions

A host now keeps for each peer which form its newest process has used, addresses it in that one, and in both as long as it has sent nothing. A whole report is applied like changes and not relayed, as earlier hosts report to every other one themselves. Documents are sent as they are to hosts of the earlier versions and read in both forms.

--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -9,6 +9,7 @@
 import logbook
 
 from amaranthhollow.decisions.endpoint_links import RelayPeer, preferred_relays
+from amaranthhollow.decisions.peer_protocols import PeerProtocols
 from amaranthhollow.decisions.prompt_times import PromptTimes
 from amaranthhollow.decisions.quota import HostCounts, QuotaLimiter
 from amaranthhollow.decisions.retries import RetryBudget
@@ -65,6 +66,7 @@
     prompt_times_by_service: dict[str, PromptTimes] = field(default_factory=dict)
     usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
     host_counts: HostCounts = field(default_factory=HostCounts)
+    protocols: PeerProtocols = field(default_factory=PeerProtocols)
     can_relay_by_peer: dict[str, bool] = field(default_factory=dict)
     can_read_by_peer: dict[str, bool] = field(default_factory=dict)
     can_read: bool = True
--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -120,6 +120,10 @@
             "configuration_age_seconds",
             "Age of the proof that the configuration is the newest.",
         )
+        self.peers_of_earlier_versions = GaugeMetric(
+            "peers_of_earlier_versions",
+            "Peers that exchange whole reports, as earlier versions do.",
+        )
         self.endpoints_age = GaugeMetric(
             "endpoints_age_seconds",
             "Age of the proof that the list of endpoints is the newest.",
--- a/src/amaranthhollow/entry/peer_documents.py
+++ b/src/amaranthhollow/entry/peer_documents.py
@@ -1,4 +1,7 @@
-"""Fetches newer configurations and endpoint lists from peers, and serves its own."""
+"""Fetches newer configurations and endpoint lists from peers, and serves its own.
+
+Documents are compressed, but for hosts of earlier versions.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +13,7 @@
 import msgspec
 from result import Err
 
+from amaranthhollow.decisions.peer_protocols import PeerProtocol
 from amaranthhollow.serving.clock import now
 from amaranthhollow.serving.http_client import Call, HttpClient
 from amaranthhollow.state.site_state import EndpointSnapshot
@@ -25,6 +29,8 @@
 # Time to transfer a compressed document several times over a link of 5 Mbit/s.
 FETCH_TIMEOUT_SECONDS = 1.2
 COMPRESSION_LEVEL = 1
+# The first byte of a zlib stream with a window of 32 KB (RFC 1950 section 2.2).
+ZLIB_HEADER = b"\x78"
 # Several times the largest value of the store.
 MAX_DOCUMENT_BYTES = 8 << 20
 OK = 200
@@ -59,14 +65,28 @@
     async def serve(self, exchange: Exchange) -> None:
         """Respond to a peer's request for a document."""
         site, target = self._host.site, exchange.head.path
+        is_earlier = self._is_of_earlier_version(exchange.peer_address)
         if target == CONFIGURATION_TARGET and site.configuration is not None:
-            exchange.respond(OK, [], self._compress_configuration())
+            value = site.configuration_value
+            body = value if is_earlier else self._compress_configuration()
+            exchange.respond(OK, [], body)
         elif target == ENDPOINTS_TARGET:
             encoded = msgspec.msgpack.encode(site.snapshot)
-            exchange.respond(OK, [], zlib.compress(encoded, COMPRESSION_LEVEL))
+            compressed = zlib.compress(encoded, COMPRESSION_LEVEL)
+            exchange.respond(OK, [], encoded if is_earlier else compressed)
         else:
             exchange.respond(NOT_FOUND, [], b"")
 
+    def _is_of_earlier_version(self, address: str) -> bool:
+        """Return whether the host at an address reads documents as they are only."""
+        host = self._host
+        return any(
+            info.address == address
+            and host.protocols.forms_for(peer) == (PeerProtocol.WHOLE_REPORTS,)
+            for peer in host.membership.peers
+            if (info := host.membership.info(peer)) is not None
+        )
+
     async def _fetch_from(
         self, address: str, target: bytes, confirmed_at: float
     ) -> None:
@@ -78,7 +98,7 @@
         self._targets_in_flight.discard(target)
         if isinstance(response, Err) or response.ok_value.status != OK:
             return
-        body = _decompress(response.ok_value.body)
+        body = _decode_document(response.ok_value.body)
         if body is None:
             log.warning("peer's document unreadable", extra={"peer": address})
         elif target == CONFIGURATION_TARGET:
@@ -103,8 +123,13 @@
         self._host.site.apply_endpoints(snapshot, confirmed_at, now())
 
 
-def _decompress(data: bytes) -> bytes | None:
-    """Return the decompressed bytes, or None if they are none or too many."""
+def _decode_document(data: bytes) -> bytes | None:
+    """Return a document, or None if it is cut or too large.
+
+    Hosts of earlier versions send it as it is; neither form begins like the other.
+    """
+    if not data.startswith(ZLIB_HEADER):
+        return data
     decompressor = zlib.decompressobj()
     try:
         body = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from amaranthhollow.decisions.gossip import PeerRotation
+from amaranthhollow.decisions.peer_protocols import PeerProtocol
 from amaranthhollow.decisions.quota import MIN_COUNTS_AGE_SECONDS, HostCounts
 from amaranthhollow.decisions.reports import (
     HostReport,
@@ -26,6 +27,8 @@
     OriginQuery,
     OriginReply,
     Ping,
+    ReportEcho,
+    ReportPing,
     StreamMessage,
     StreamStarted,
     decode_datagram,
@@ -56,6 +59,9 @@
 QUOTA_LEVELS_SECONDS = 1.0
 # By then this host knows the others, and has been announced to them by gossip.
 SHARING_DELAY_SECONDS = 2.0
+# A host of an earlier version pings each peer once in that many rounds of 0.25 s.
+PEERS_PER_EARLIER_ROUND = 12
+EARLIER_ROUND_SECONDS = 0.25
 # Hosts that restart together start within a few seconds.
 RECENT_START_MS = 5_000
 
@@ -94,6 +100,7 @@
         self._nonce = host.random.getrandbits(32)
         self._pending_pings_by_nonce: dict[int, _PendingPing] = {}
         self._contacts = Contacts()
+        self._reported_at_by_process: dict[str, float] = {}
         self._reports = ReportTable(host.name, host.incarnation)
         self._pace = exchange_pace(0)
         self._next_update_at = 0.0
@@ -136,7 +143,7 @@
         match message:
             case Ping():
                 self._host.metrics.datagrams.increment("ping")
-                self._record_contact(message)
+                self._record_contact(message, PeerProtocol.REPORT_CHANGES)
                 self._reports.correct_version(
                     message.host,
                     message.incarnation,
@@ -150,6 +157,12 @@
             case Echo():
                 self._host.metrics.datagrams.increment("echo")
                 self._handle_echo(message)
+            case ReportPing():
+                self._host.metrics.datagrams.increment("report ping")
+                self._handle_report_ping(message, address)
+            case ReportEcho():
+                self._host.metrics.datagrams.increment("report echo")
+                self._handle_echo(message)
             case StreamStarted() | OriginQuery() | OriginReply():
                 self._host.metrics.datagrams.increment("stream")
                 self.receive_stream_message(message)
@@ -184,14 +197,15 @@
             return
         self._nonce += 1
         self._pending_pings_by_nonce[self._nonce] = _PendingPing(peer, instant)
-        ping = Ping(
-            self._nonce,
-            host.name,
-            host.incarnation,
-            host.membership.table.compose_message(),
-            self._reports.digest(),
-        )
-        self._transport.sendto(encode_datagram(ping), (info.address, self._port))
+        gossip = host.membership.table.compose_message()
+        head = (self._nonce, host.name, host.incarnation, gossip)
+        for protocol in host.protocols.forms_for(peer):
+            match protocol:
+                case PeerProtocol.REPORT_CHANGES:
+                    ping = Ping(*head, self._reports.digest())
+                case PeerProtocol.WHOLE_REPORTS:
+                    ping = ReportPing(*head, self._build_report(), max(PeerProtocol))
+            self._transport.sendto(encode_datagram(ping), (info.address, self._port))
 
     def _expire_pending_pings(self, instant: float) -> None:
         for nonce, pending_ping in list(self._pending_pings_by_nonce.items()):
@@ -200,6 +214,7 @@
             del self._pending_pings_by_nonce[nonce]
             last_seen_at = self._contacts.last_seen_at(pending_ping.host)
             if last_seen_at < pending_ping.sent_at:
+                self._host.protocols.forget(pending_ping.host)
                 self._host.membership.record_exchange_failure(
                     pending_ping.host, instant
                 )
@@ -210,6 +225,11 @@
         self._pace = exchange_pace(len(peers))
         host.spread_seconds = self._pace.spread_seconds
         limit = ECHO_TIMEOUT_SECONDS + self._pace.max_age_seconds
+        earlier_count = host.protocols.count(PeerProtocol.WHOLE_REPORTS)
+        host.metrics.peers_of_earlier_versions.value = earlier_count
+        if earlier_count:
+            rounds = len(peers) / PEERS_PER_EARLIER_ROUND
+            limit = max(limit, 2 * EARLIER_ROUND_SECONDS * rounds)
         reachable = tuple(self._contacts.seen_since(instant - limit))
         known_since = instant - KNOWN_HOST_RETENTION_SECONDS
         known = {*self._contacts.seen_since(known_since), *peers}
@@ -234,7 +254,13 @@
             host.can_relay_by_peer.pop(name, None)
             host.can_read_by_peer.pop(name, None)
             host.clock.forget(name)
-        for process in self._reports.expire(instant - REPORT_RETENTION_SECONDS):
+            self._host.protocols.forget(name)
+        retained_since = instant - REPORT_RETENTION_SECONDS
+        reported = list(self._reported_at_by_process.items())
+        ended = [process for process, at in reported if at <= retained_since]
+        for process in ended:
+            del self._reported_at_by_process[process]
+        for process in [*ended, *self._reports.expire(retained_since)]:
             self._contacts.forget_process(process)
             host.quotas.forget(process)
             host.usage_by_process.pop(process, None)
@@ -252,7 +278,7 @@
             host.can_read,
         )
 
-    def _merge_gossip(self, message: Ping | Echo) -> object:
+    def _merge_gossip(self, message: Ping | Echo | ReportPing | ReportEcho) -> object:
         membership = self._host.membership
         for fact in membership.merge(message.gossip.facts, now()):
             apply_facts = self._consumers_by_kind.get(fact.kind)
@@ -284,7 +310,7 @@
             self._quota_levels_for(ping),
         )
 
-    def _quota_levels_for(self, ping: Ping) -> dict[str, float] | None:
+    def _quota_levels_for(self, ping: Ping | ReportPing) -> dict[str, float] | None:
         """Return the levels of the quotas if the sender of a ping has just started."""
         process = f"{ping.host}@{ping.incarnation}"
         instant = now()
@@ -293,9 +319,69 @@
             return None
         return self._host.quotas.levels(instant)
 
-    def _record_contact(self, message: Ping | Echo) -> None:
-        """Record that a host has sent a message itself."""
-        self._contacts.record(message.host, message.incarnation, now(), now())
+    def _handle_report_ping(self, ping: ReportPing, address: tuple[str, int]) -> None:
+        """Process a ping of a host of an earlier version, and respond to it.
+
+        One of this version does not know yet which host it asks, and pings in both
+        forms.
+        """
+        is_earlier = ping.protocol < PeerProtocol.REPORT_CHANGES
+        self._record_contact(
+            ping,
+            PeerProtocol.WHOLE_REPORTS if is_earlier else PeerProtocol.REPORT_CHANGES,
+        )
+        reply = self._merge_gossip(ping)
+        if not is_earlier:
+            return
+        self._apply_report(ping, ping.report)
+        host = self._host
+        echo = ReportEcho(
+            ping.nonce,
+            host.name,
+            host.incarnation,
+            reply,
+            self._build_report(),
+            self._freshness.build_report(),
+            host.clock.local_wall_time(now()),
+            self._quota_levels_for(ping),
+        )
+        self._transport.sendto(encode_datagram(echo), address)
+
+    def _apply_report(
+        self, message: ReportPing | ReportEcho, report: HostReport
+    ) -> None:
+        """Apply the whole report of a host, which is not relayed to others.
+
+        Hosts of earlier versions report to each other host themselves.
+        """
+        name, incarnation = message.host, message.incarnation
+        self._reported_at_by_process[f"{name}@{incarnation}"] = now()
+        self._apply_changes(
+            ReportChanges(
+                name,
+                incarnation,
+                0,
+                0,
+                0,
+                report.usage,
+                report.spent,
+                report.loads,
+                report.can_relay,
+                report.can_read,
+            )
+        )
+
+    def _record_contact(
+        self, message: Ping | Echo | ReportPing | ReportEcho, protocol: PeerProtocol
+    ) -> None:
+        """Record that a host has sent a message itself, and in which form."""
+        name, incarnation = message.host, message.incarnation
+        self._contacts.record(name, incarnation, now(), now())
+        if self._host.protocols.record(name, incarnation, protocol):
+            log.info(
+                "protocol of a peer",
+                extra={"peer": name, "protocol": int(protocol)},
+            )
 
     def _apply_changes(self, changes: ReportChanges) -> None:
         """Apply what has changed in the report of a process."""
@@ -313,13 +399,18 @@
         previous = host.usage_by_process.get(process, {})
         host.usage_by_process[process] = merge_counts(previous, changes.usage)
 
-    def _handle_echo(self, echo: Echo) -> None:
+    def _handle_echo(self, echo: Echo | ReportEcho) -> None:
         pending_ping = self._pending_pings_by_nonce.pop(echo.nonce, None)
         if pending_ping is None or pending_ping.host != echo.host:
             return
-        self._record_contact(echo)
-        for changes in self._reports.merge(echo.changes, now()):
-            self._apply_changes(changes)
+        match echo:
+            case Echo():
+                self._record_contact(echo, PeerProtocol.REPORT_CHANGES)
+                for changes in self._reports.merge(echo.changes, now()):
+                    self._apply_changes(changes)
+            case ReportEcho():
+                self._record_contact(echo, PeerProtocol.WHOLE_REPORTS)
+                self._apply_report(echo, echo.report)
         self._merge_gossip(echo)
         midpoint = (pending_ping.sent_at + now()) / 2
         self._host.clock.observe(echo.host, echo.wall_time, midpoint)
--- a/src/amaranthhollow/peers/datagrams.py
+++ b/src/amaranthhollow/peers/datagrams.py
@@ -1,11 +1,17 @@
-"""MessagePack datagrams that hosts exchange several times a second."""
+"""MessagePack datagrams that hosts exchange several times a second.
+
+Hosts of earlier versions exchange whole reports instead of changes, under the same
+tags; the form of a message shows which it is. A struct may get further fields with
+defaults at its end, which earlier versions skip.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
 from amaranthhollow.decisions.gossip import GossipMessage
-from amaranthhollow.decisions.reports import ReportChanges
+from amaranthhollow.decisions.peer_protocols import PeerProtocol
+from amaranthhollow.decisions.reports import HostReport, ReportChanges
 from amaranthhollow.decisions.stream_origins import StreamOrigin
 
 __all__ = [
@@ -15,6 +21,8 @@
     "OriginReply",
     "Ping",
     "FreshnessReport",
+    "ReportEcho",
+    "ReportPing",
     "StreamMessage",
     "StreamStarted",
     "decode_datagram",
@@ -78,6 +86,33 @@
     quota_levels: dict[str, float] | None = None
 
 
+class ReportPing(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
+    """A :class:`Ping` to a host that is not known to read it, with a whole report.
+
+    ``protocol`` is the one that the sender prefers, if it is of a later version.
+    """
+
+    nonce: int
+    host: str
+    incarnation: int
+    gossip: GossipMessage
+    report: HostReport
+    protocol: int = PeerProtocol.WHOLE_REPORTS
+
+
+class ReportEcho(msgspec.Struct, frozen=True, array_like=True, tag="echo"):
+    """Reply to a :class:`ReportPing` of a host that reads no :class:`Echo`."""
+
+    nonce: int
+    host: str
+    incarnation: int
+    gossip: GossipMessage
+    report: HostReport
+    freshness: FreshnessReport
+    wall_time: float
+    quota_levels: dict[str, float] | None = None
+
+
 class StreamStarted(msgspec.Struct, frozen=True, array_like=True, tag="stream"):
     """Where the stream that ``request_id`` began has its origin."""
 
@@ -116,14 +151,19 @@
 StreamMessage = StreamStarted | OriginQuery | OriginReply
 
 
-def encode_datagram(message: Ping | Echo | StreamMessage) -> bytes:
+Datagram = Ping | Echo | ReportPing | ReportEcho | StreamMessage
+
+
+def encode_datagram(message: Datagram) -> bytes:
     """Encode a message."""
     return msgspec.msgpack.encode(message)
 
 
-def decode_datagram(data: bytes) -> Ping | Echo | StreamMessage | None:
+def decode_datagram(data: bytes) -> Datagram | None:
     """Decode a message; return None if ``data`` is not one."""
-    try:
-        return msgspec.msgpack.decode(data, type=Ping | Echo | StreamMessage)
-    except (msgspec.DecodeError, ValueError):
-        return None
+    for form in (Ping | Echo | StreamMessage, ReportPing | ReportEcho):
+        try:
+            return msgspec.msgpack.decode(data, type=form)
+        except (msgspec.DecodeError, ValueError):
+            continue
+    return None
--- a/src/amaranthhollow/serving/caller_connection.py
+++ b/src/amaranthhollow/serving/caller_connection.py
@@ -143,6 +143,11 @@
         if not self._error_status:
             self._queued.append(exchange)
 
+    @property
+    def peer_address(self) -> str:
+        """The IP address of the other side."""
+        return self._transport.get_extra_info("peername")[0]
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled."""
--- a/src/amaranthhollow/serving/exchange.py
+++ b/src/amaranthhollow/serving/exchange.py
@@ -43,6 +43,11 @@
         self.status = 0
         self.is_finished = False
 
+    @property
+    def peer_address(self) -> str:
+        """The IP address that the request came from."""
+        return self._connection.peer_address
+
     @property
     def has_started(self) -> bool:
         """Whether a part of the response was sent."""
--- /dev/null
+++ b/tests/compatibility/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts of several versions side by side."""
--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -140,8 +140,10 @@
         *,
         store_address: str | None = None,
         is_first_start: bool = False,
+        source: Path | None = None,
         **bounds: float,
     ) -> str:
+        """Start a daemon of this version, or of that at ``source``."""
         address = f"{self.network}.{number}"
         settings = {
             "host": name,
@@ -175,6 +177,7 @@
                     **os.environ,
                     "AMARANTHHOLLOW_NODE_FILE": str(file),
                     "AMARANTHHOLLOW_TEST_CUT": str(self._cut_file(name)),
+                    **({} if source is None else {"PYTHONPATH": str(source)}),
                 },
                 cwd=ROOT,
                 stdout=log,
