--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -210,7 +210,7 @@
             response = await self.send_bytes(
                 address, READY_PORT, b"GET / HTTP/1.1\r\n\r\n"
             )
-        except OSError:
+        except (OSError, asyncio.IncompleteReadError):
             return 0
         return response.status
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -83,6 +83,7 @@
         self.limited: SoakEndpoint | None = None
         self.limit_record = LimitRecord(0.0, float("inf"))
         self.plays_restores = plays_restores
+        self.concurrent_faults = CONCURRENT_FAULTS
         self.proxies: list[Proxy] = []
         self.callers: list[Caller] = []
         self.exit_codes: list[int] = []
@@ -150,18 +151,19 @@
         ]
         release = asyncio.create_task(self.release_one_endpoint())
         limit = asyncio.create_task(self.limit_one_endpoint())
+        planned = asyncio.create_task(self.run_planned_work())
         cuts = asyncio.create_task(self.cut_links())
         restores = None
         if self.plays_restores:
             restores = asyncio.create_task(self.restore_store())
         ends_at = asyncio.get_running_loop().time() + FAULT_SECONDS
         await asyncio.gather(
-            *(self.inject_faults_until(ends_at) for _ in range(CONCURRENT_FAULTS))
+            *(self.inject_faults_until(ends_at) for _ in range(self.concurrent_faults))
         )
         if restores is not None:
             restores.cancel()
         cuts.cancel()
-        await asyncio.gather(limit, release)
+        await asyncio.gather(limit, release, planned)
         await self.clear_faults()
         counts_before = [len(caller.sent_requests) for caller in self.callers]
         await asyncio.sleep(RECOVERY_SECONDS)
@@ -173,6 +175,9 @@
         stopped.set()
         await asyncio.gather(*caller_tasks)
 
+    async def run_planned_work(self) -> None:
+        """Do nothing; other soaks replace hosts beside the faults."""
+
     async def limit_one_endpoint(self) -> None:
         """Let an endpoint state a limit, until the end of the run."""
         await asyncio.sleep(LIMIT_DELAY_SECONDS)
--- a/tests/standins/cut_daemon.py
+++ b/tests/standins/cut_daemon.py
@@ -12,6 +12,7 @@
 import asyncio
 import json
 import os
+import runpy
 from pathlib import Path
 
 from tests.entry.entry_site import ENDPOINT_PORT
@@ -91,6 +92,4 @@
     settings = json.loads(Path(os.environ["AMARANTHHOLLOW_NODE_FILE"]).read_text())
     cut_links = CutLinks(Path(os.environ["AMARANTHHOLLOW_TEST_CUT"]))
     install(cut_links, settings["address"])
-    from amaranthhollow.entry.command import run
-
-    run()
+    runpy.run_module("amaranthhollow.entry", run_name="__main__")
