Keep the limit that an endpoint stated before the list named it

An endpoint with a limit of 0.5 a second got 19 requests in four seconds when the list named the incarnation that had stated it, and 17 after its entry had been missing for a second and a half; 8 are allowed (LIMIT). Callers that waited were all sent at once.

A host now keeps the last limit that it heard at an address, and publishes it for an endpoint there that had started by then and has stated nothing under its listed name. A peer's word that the limit has ended withdraws it.

--- a/src/amaranthhollow/decisions/endpoint_limits.py
+++ b/src/amaranthhollow/decisions/endpoint_limits.py
@@ -100,6 +100,11 @@
             return None
         return share.requests_per_second
 
+    def knows(self, endpoint_id: str, incarnation: int) -> bool:
+        """Return whether an incarnation has stated a limit, or that it has none."""
+        share = self._shares_by_endpoint.get(endpoint_id)
+        return share is not None and share.incarnation >= incarnation
+
     def observe(
         self,
         endpoint_id: str,
--- a/src/amaranthhollow/entry/endpoint_limits.py
+++ b/src/amaranthhollow/entry/endpoint_limits.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from amaranthhollow.decisions.address_statements import AddressStatements
 from amaranthhollow.decisions.endpoint_limits import (
     ENDPOINT_LIMIT_FACT,
     EndpointLimiter,
@@ -36,6 +37,7 @@
         """Keep limits on behalf of ``host``."""
         self._host = host
         self._limiter = EndpointLimiter(host.name)
+        self._heard = AddressStatements()
 
     def observe_response(
         self, endpoint: Endpoint, response: ResponseInfo, sent_at: float
@@ -46,18 +48,12 @@
         """
         rate = response.rate_limit
         is_proof = response.is_signed and response.head.status in SUCCESS
-        if rate is None and not (is_proof and self._limiter.has_limits):
+        has_limits = self._limiter.has_limits or self._heard.has_any
+        if rate is None and not (is_proof and has_limits):
             return
-        host = self._host
-        fact = self._limiter.observe(
-            endpoint.host,
-            endpoint.listed.incarnation,
-            rate,
-            sent_at=host.clock.wall_time(sent_at),
-            now=host.wall_time(),
-        )
-        if fact is not None:
-            self.apply_facts(host.membership.merge([fact], now()))
+        wall_time = self._host.wall_time()
+        self._heard.hear(endpoint.address_and_port, rate, wall_time)
+        self._publish(endpoint, rate, self._host.clock.wall_time(sent_at))
 
     def apply_facts(self, facts: Iterable[Fact]) -> None:
         """Apply facts that gossip reported as new."""
@@ -68,6 +64,9 @@
             previous = self._limiter.rate(fact.name, incarnation)
             self._limiter.apply(fact, self._host.wall_time())
             rate = self._limiter.rate(fact.name, incarnation)
+            endpoint = self._host.site.endpoints.get(fact.name)
+            if rate is None and endpoint is not None:
+                self._heard.hear(endpoint.address_and_port, None, 0.0)
             log.info(
                 "endpoint limit changed",
                 extra={"endpoint": fact.name, "rate": rate, "previous": previous},
@@ -75,6 +74,7 @@
 
     def may_send(self, endpoint: Endpoint) -> bool:
         """Return whether this host may send a request to an endpoint now."""
+        self._adopt_heard(endpoint)
         if not self._limiter.has_limits:
             return True
         host = self._host
@@ -94,9 +94,33 @@
 
     def forget_unlisted(self) -> None:
         """Drop the limits of endpoints that are no longer listed."""
+        self._heard.expire(self._host.wall_time())
         if not self._limiter.has_limits:
             return
         for endpoint in self._host.site.endpoints.all():
             if not endpoint.is_listed and self._limiter.forget(endpoint.host):
                 table = self._host.membership.table
                 table.remove(ENDPOINT_LIMIT_FACT, endpoint.host)
+
+    def _adopt_heard(self, endpoint: Endpoint) -> None:
+        """Take over a limit that the endpoint stated before the list named it."""
+        if not self._heard.has_any:
+            return
+        listed = endpoint.listed
+        if not self._limiter.knows(endpoint.host, listed.incarnation):
+            rate = self._heard.find(endpoint.address_and_port, listed.incarnation)
+            if rate is not None:
+                self._publish(endpoint, rate, self._host.wall_time())
+
+    def _publish(self, endpoint: Endpoint, rate: float | None, sent_at: float) -> None:
+        """Publish a limit, or its end, unless it is known."""
+        host = self._host
+        fact = self._limiter.observe(
+            endpoint.host,
+            endpoint.listed.incarnation,
+            rate,
+            sent_at=sent_at,
+            now=host.wall_time(),
+        )
+        if fact is not None:
+            self.apply_facts(host.membership.merge([fact], now()))
--- a/tests/entry/test_statements_between_lists.py
+++ b/tests/entry/test_statements_between_lists.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.entry.entry_site import CUT_DAEMON
+from tests.limit_rule import LimitRecord
 from tests.standins.scripted_endpoint import plain_response, rejection
 from tests.statement_rule import requests_during_rests, requests_while_leaving
 
@@ -123,3 +124,41 @@
     await restarts.send_batches(1.0)
 
     assert [a for a in restarts.first.arrivals if a.at > started_at]
+
+
+async def keep_within_limit(restarts, change_list):
+    """Change the list while many callers wait, and return the largest window."""
+    endpoint, rate = restarts.first, 0.5
+    endpoint.rate_limit = rate
+    record = LimitRecord(rate, time.monotonic())
+    await restarts.send_until(lambda: endpoint.arrivals)
+    record.record_told("host-1", time.monotonic())
+    callers = [asyncio.create_task(restarts.send_batches(9.0)) for _ in range(4)]
+    await asyncio.sleep(5.0)
+    await change_list()
+    await asyncio.gather(*callers)
+    for arrival in endpoint.arrivals:
+        record.record_arrival("host-1", arrival.at)
+    return record.largest_window(), record.allowed
+
+
+# A limit was forgotten with the incarnation that the list had, and callers that waited
+# were all sent at once.
+async def test_limit_holds_though_the_list_names_the_endpoint_later(restarts):
+    born = wall_time_ms()
+
+    async def list_it():
+        restarts.list_first(born)
+
+    largest, allowed = await keep_within_limit(restarts, list_it)
+    assert largest <= allowed
+
+
+async def test_limit_holds_though_the_entry_is_missing_for_a_time(restarts):
+    async def unlist_and_list():
+        restarts.unlist_first()
+        await asyncio.sleep(LISTING_SECONDS)
+        restarts.list_first(born=1)
+
+    largest, allowed = await keep_within_limit(restarts, unlist_and_list)
+    assert largest <= allowed
