Count what reaches an endpoint that leaves until it has ended

The check counted requests to the endpoint's successor at the same address, whose time of sending it had cut to the moment of the replacement, and only the excuses of other faults hid that. What arrives before the replacement counts as before, by its true time of sending; what arrives later went to another incarnation, which has said nothing.

--- a/tests/statement_rule.py
+++ b/tests/statement_rule.py
@@ -56,9 +56,13 @@
     endpoint: ScriptedEndpoint,
     sent_at_by_request: dict[str, float],
     is_excused: Callable[[str, float, float], bool] = is_never_excused,
+    *,
+    until: float = float("inf"),
 ) -> list[str]:
     """Return requests that came through a host later than the drain time.
 
+    Counted is what arrives ``until`` the endpoint has ended.
+
     It runs from the first response in which the endpoint told that host that it
     leaves, to the time at which the caller sent the request. A restart or a freeze of
     the host in between excuses it.
@@ -68,6 +72,8 @@
         told_at_by_host.setdefault(sender, at)
     violations = []
     for arrival in endpoint.arrivals:
+        if arrival.at >= until:
+            continue
         told_at = told_at_by_host.get(arrival.sender, float("inf"))
         sent_at = sent_at_by_request[arrival.request_id]
         if sent_at > told_at + DRAIN_SECONDS and not is_excused(
