Let no test be answered by a process that another run has left

A trial with a daemon that an earlier run had left at a host's address had the same two results, readiness 200 and 401 for a new key: the test's own daemon ended with "address already in use", and nothing noticed.

Change: networks are reserved, and one with any bound socket is skipped; daemons end with the process of the tests (PR_SET_PDEATHSIG); a daemon counts as ready only once it has logged its own start, and one that ends fails the test with its log. Failing tests now show the ends of their hosts' logs, which the failed run lacked.

The bounds of the tests are unchanged.

--- a/tests/compatibility/test_two_builds.py
+++ b/tests/compatibility/test_two_builds.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests.compatibility.earlier_build import EARLIER_COMMITS, extract_source
-from tests.conftest import next_network
 from tests.entry.entry_site import EntrySite
+from tests.networks import next_network
 from tests.standins.scripted_endpoint import plain_response
 
 HOSTS = ("host-1", "host-2", "host-3")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,23 +2,17 @@
 
 from __future__ import annotations
 
-import os
-from itertools import count
 from pathlib import Path
 
 import pytest
 
+from tests.networks import next_network
 from tests.site import Site, write_example_configuration
 
-# Tests and pytest-xdist workers that run in parallel must not share addresses.
-_worker_index = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-_first_octet = int(os.environ.get("AMARANTHHOLLOW_TEST_NETWORK", "20"))
-_networks = (f"127.{_first_octet + _worker_index}.{octet}" for octet in count(1))
-
-
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 FLAKY_PREFIX = "Flaky test: "
 FAILING_PREFIX = "Failing test: "
+MAX_LOG_LINES = 150
 
 
 def pytest_collection_modifyitems(items):
@@ -36,9 +30,16 @@
             item.add_marker(mark)
 
 
-def next_network() -> str:
-    """Return the prefix of a /24 loopback network that no other test uses."""
-    return next(_networks)
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item):
+    """Add the logs of the processes of a failed test's site to its report."""
+    report = yield
+    site = getattr(item, "funcargs", {}).get("site")
+    if report.failed and site is not None:
+        for file in sorted(site.folder.glob("*.log")):
+            lines = file.read_text(errors="replace").splitlines()[-MAX_LOG_LINES:]
+            report.sections.append((f"end of {file.name}", "\n".join(lines)))
+    return report
 
 
 @pytest.fixture
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.conftest import next_network
 from tests.entry.entry_site import EntrySite
+from tests.networks import next_network
 
 
 @pytest.fixture
--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -6,24 +6,27 @@
 import json
 import os
 import signal
-import subprocess
-import sys
 from dataclasses import dataclass, field
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from tests.processes import start_python
 from tests.standins.scripted_endpoint import Arrival, ScriptedEndpoint
 from tests.standins.store import StoreStandIn
 
+if TYPE_CHECKING:
+    import subprocess
+    from pathlib import Path
+
 __all__ = ["API_KEY", "CUT_DAEMON", "EntrySite", "HttpResponse", "read_response"]
 
-ROOT = Path(__file__).resolve().parents[2]
 API_KEY = "key-1"
 CUT_DAEMON = "tests.standins.cut_daemon"
 STORE_PORT, CLOUD_PORT, ENDPOINT_PORT = 2380, 2381, 9000
 CALLER_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 8221, 8224, 9464, 7600
 START_TIMEOUT_SECONDS = 20.0
+STARTED_MESSAGE = '"event":"started"'
 
 
 @dataclass(frozen=True)
@@ -44,6 +47,8 @@
     endpoints: dict[str, ScriptedEndpoint] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
     daemon_module: str = "amaranthhollow.entry"
+    _names_by_address: dict[str, str] = field(default_factory=dict)
+    _log_lengths_by_name: dict[str, int] = field(default_factory=dict)
     _cleanups: list = field(default_factory=list)
 
     async def start(self) -> None:
@@ -170,19 +175,21 @@
         }
         file = self.folder / f"{name}.yaml"
         file.write_text(json.dumps(settings))
-        with (self.folder / f"{name}.log").open("ab") as log:
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", self.daemon_module],
-                env={
+        log_file = self.folder / f"{name}.log"
+        log_file.touch()
+        self._log_lengths_by_name[name] = len(self.read_log(name))
+        with log_file.open("ab") as log:
+            self.processes[name] = start_python(
+                ["-m", self.daemon_module],
+                log,
+                {
                     **os.environ,
                     "AMARANTHHOLLOW_NODE_FILE": str(file),
                     "AMARANTHHOLLOW_TEST_CUT": str(self._cut_file(name)),
                     **({} if source is None else {"PYTHONPATH": str(source)}),
                 },
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
             )
+        self._names_by_address[address] = name
         return address
 
     def set_links(self, name: str, state: str) -> None:
@@ -201,10 +208,23 @@
         return (self.folder / f"{name}.log").read_text()
 
     async def wait_ready(self, address: str, is_ready: bool = True) -> None:
+        """Wait for the readiness of the daemon that was started at an address.
+
+        Another process may respond there, and the daemon fail to start.
+        """
+        name = self._names_by_address[address]
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
-            while await self.ready_status(address) != (200 if is_ready else 503):
+            while not self._has_started(name) or (
+                await self.ready_status(address) != (200 if is_ready else 503)
+            ):
+                assert self.processes[name].poll() is None, self.read_log(name)
                 await asyncio.sleep(0.05)
 
+    def _has_started(self, name: str) -> bool:
+        """Return whether the last process of a host has bound its addresses."""
+        last_log = self.read_log(name)[self._log_lengths_by_name[name] :]
+        return STARTED_MESSAGE in last_log
+
     async def ready_status(self, address: str) -> int:
         try:
             response = await self.send_bytes(
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -15,7 +15,7 @@
 from amaranthhollow.peers.links import PeerLinks
 from amaranthhollow.peers.server import serve_peers
 from amaranthhollow.peers.stream_tails import StreamTail, read_tail, tail_fields
-from tests.conftest import next_network
+from tests.networks import next_network
 
 PORT = 8082
 RECORD = ClaimRecord(b"k", b"r", "claim-1", 5.0)
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -19,7 +19,7 @@
     ResponseEnd,
 )
 from amaranthhollow.serving.messages import ResponseHead, find_header
-from tests.conftest import next_network
+from tests.networks import next_network
 from tests.standins.scripted_endpoint import (
     ScriptedEndpoint,
     plain_response,
--- a/tests/site.py
+++ b/tests/site.py
@@ -10,15 +10,18 @@
 import time
 from dataclasses import dataclass, field
 from hashlib import sha256
-from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import yaml
 
+from tests.processes import ROOT, start_python
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
 __all__ = ["ADVISER_KEY", "COUNCIL_KEY", "Site", "write_example_configuration"]
 
-ROOT = Path(__file__).resolve().parent.parent
 ADVISER_KEY = "adviser-key"
 COUNCIL_KEY = "council-key"
 START_TIMEOUT_SECONDS = 15.0
@@ -228,9 +231,7 @@
     def _start_process(self, name: str, address: str, command: list[str]) -> Process:
         log_path = self.folder / f"{name}.log"
         with log_path.open("ab") as output:
-            popen = subprocess.Popen(
-                [sys.executable, *command], cwd=ROOT, stdout=output, stderr=output
-            )
+            popen = start_python(command, output)
         process = Process(name, address, popen, log_path)
         self.processes_by_name[name] = process
         return process
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,9 +15,9 @@
 
 import pytest
 
-from tests.conftest import next_network
 from tests.entry.entry_site import CUT_DAEMON, ENDPOINT_PORT, EntrySite
 from tests.limit_rule import LimitRecord
+from tests.networks import next_network
 from tests.soak.callers import Caller, SentRequest, find_violations
 from tests.soak.endpoint import SoakEndpoint
 from tests.soak.proxy import LinkState, Proxy
--- a/tests/soak/test_upgrade_soak.py
+++ b/tests/soak/test_upgrade_soak.py
@@ -13,8 +13,8 @@
 import pytest
 
 from tests.compatibility.earlier_build import EARLIER_COMMITS, extract_source
-from tests.conftest import next_network
 from tests.entry.entry_site import EntrySite
+from tests.networks import next_network
 from tests.soak.test_soak import HOST_NUMBERS, SoakRun
 
 if TYPE_CHECKING:
--- a/tests/state/test_restored_store.py
+++ b/tests/state/test_restored_store.py
@@ -26,7 +26,7 @@
 from amaranthhollow.state.claim_store import ClaimStore
 from amaranthhollow.state.configuration_store import Accepted, ConfigurationStore
 from amaranthhollow.state.lease_store import NamedLease
-from tests.conftest import next_network
+from tests.networks import next_network
 from tests.standins.store import StoreStandIn
 
 PORT = 2380
