Lose no change in the stand-in of the store as a watch ends

Cause, in the stand-in, not in the hosts: a watch looked for events, waited up to 0.1 s more, and once its time was over responded with the events found before that wait, but with the position after it. The host with access to the store went on confirming the version before.

Ruled out: the exchange between hosts (the host that reads the store was the one that lacked the version); too little time on a busy machine.

Change: events and position are taken at the same moment.

--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -216,21 +216,26 @@
             return web.json_response({}, status=410)
         self._pending_watches += 1
         try:
-            while time.monotonic() < deadline and request.transport is not None:
+            while request.transport is not None:
                 if self.faults["down"] or self.faults["refuse_connections"]:
                     drop_connection(request)
-                events = [
-                    event
-                    for revision, key, event in self._events
-                    if revision > after and key.startswith(prefix)
-                ]
-                if events:
-                    break
                 self._expire_leases()
+                events = self._events_after(after, prefix)
+                if events or time.monotonic() >= deadline:
+                    return web.json_response(
+                        {"events": events, "as_of": self._revision}
+                    )
                 await self._wait_for_change()
         finally:
             self._pending_watches -= 1
-        return web.json_response({"events": events, "as_of": self._revision})
+        drop_connection(request)
+
+    def _events_after(self, after: int, prefix: str) -> list[dict]:
+        return [
+            event
+            for revision, key, event in self._events
+            if revision > after and key.startswith(prefix)
+        ]
 
     async def _wait_for_change(self) -> None:
         try:
