Move the reports of hosts out of the exchange of datagrams

Peering exchanged pings and echoes and also composed and applied reports of two forms. The latter are now ReportExchange; nothing else changes.

--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -12,16 +12,10 @@
 from amaranthhollow.decisions.gossip import PeerRotation
 from amaranthhollow.decisions.peer_protocols import PeerProtocol
 from amaranthhollow.decisions.quota import MIN_COUNTS_AGE_SECONDS, HostCounts
-from amaranthhollow.decisions.reports import (
-    HostReport,
-    ReportChanges,
-    ReportTable,
-    exchange_pace,
-    process_key,
-)
-from amaranthhollow.decisions.usage import merge_counts
+from amaranthhollow.decisions.reports import exchange_pace
 from amaranthhollow.entry.contacts import Contacts
 from amaranthhollow.entry.freshness_exchange import FreshnessExchange
+from amaranthhollow.entry.report_exchange import ReportExchange
 from amaranthhollow.peers.datagrams import (
     Echo,
     OriginQuery,
@@ -50,10 +44,6 @@
 UPDATE_INTERVAL_SECONDS = 0.25
 # A host that has been unreachable for less may still serve callers behind a partition.
 KNOWN_HOST_RETENTION_SECONDS = 15.0
-# The usage of a process that ended is needed until its last window is reported.
-REPORT_RETENTION_SECONDS = 60.0
-# Earlier windows no longer change, and were sent to the peers many times.
-REPORTED_USAGE_WINDOWS = 2
 LOST_HOST_RETRY_SECONDS = 2.0
 # A new host gets the quota levels with its first echoes, unless they are lost.
 QUOTA_LEVELS_SECONDS = 1.0
@@ -62,8 +52,6 @@
 # A host of an earlier version pings each peer once in that many rounds of 0.25 s.
 PEERS_PER_EARLIER_ROUND = 12
 EARLIER_ROUND_SECONDS = 0.25
-# Hosts that restart together start within a few seconds.
-RECENT_START_MS = 5_000
 
 log = logbook.Logger("peers")
 
@@ -100,8 +88,7 @@
         self._nonce = host.random.getrandbits(32)
         self._pending_pings_by_nonce: dict[int, _PendingPing] = {}
         self._contacts = Contacts()
-        self._reported_at_by_process: dict[str, float] = {}
-        self._reports = ReportTable(host.name, host.incarnation)
+        self._reports = ReportExchange(host, self._contacts)
         self._pace = exchange_pace(0)
         self._next_update_at = 0.0
         self._next_lost_ping_at = 0.0
@@ -144,13 +131,7 @@
             case Ping():
                 self._host.metrics.datagrams.increment("ping")
                 self._record_contact(message, PeerProtocol.REPORT_CHANGES)
-                self._reports.correct_version(
-                    message.host,
-                    message.incarnation,
-                    message.digest.get(
-                        process_key(message.host, message.incarnation), 0
-                    ),
-                )
+                self._reports.correct_version(message)
                 reply = self._merge_gossip(message)
                 echo = self._build_echo(message, reply)
                 self._transport.sendto(encode_datagram(echo), address)
@@ -204,7 +185,9 @@
                 case PeerProtocol.REPORT_CHANGES:
                     ping = Ping(*head, self._reports.digest())
                 case PeerProtocol.WHOLE_REPORTS:
-                    ping = ReportPing(*head, self._build_report(), max(PeerProtocol))
+                    ping = ReportPing(
+                        *head, self._reports.build_report(), max(PeerProtocol)
+                    )
             self._transport.sendto(encode_datagram(ping), (info.address, self._port))
 
     def _expire_pending_pings(self, instant: float) -> None:
@@ -255,29 +238,10 @@
             host.can_read_by_peer.pop(name, None)
             host.clock.forget(name)
             self._host.protocols.forget(name)
-        retained_since = instant - REPORT_RETENTION_SECONDS
-        reported = list(self._reported_at_by_process.items())
-        ended = [process for process, at in reported if at <= retained_since]
-        for process in ended:
-            del self._reported_at_by_process[process]
-        for process in [*ended, *self._reports.expire(retained_since)]:
-            self._contacts.forget_process(process)
-            host.quotas.forget(process)
-            host.usage_by_process.pop(process, None)
+        self._reports.forget_ended(instant)
 
     # Messages to and from peers.
 
-    def _build_report(self) -> HostReport:
-        host = self._host
-        usage = host.usage.report(REPORTED_USAGE_WINDOWS)
-        return HostReport(
-            usage,
-            host.quotas.spent(),
-            host.chooser.local_loads(),
-            host.can_relay,
-            host.can_read,
-        )
-
     def _merge_gossip(self, message: Ping | Echo | ReportPing | ReportEcho) -> object:
         membership = self._host.membership
         for fact in membership.merge(message.gossip.facts, now()):
@@ -295,18 +259,15 @@
         return membership.table.compose_message(message.gossip)
 
     def _build_echo(self, ping: Ping, reply: object) -> Echo:
-        host, instant = self._host, now()
-        if self._reports.is_publish_due(instant):
-            interval = self._pace.publish_interval
-            self._reports.publish(self._build_report(), instant, interval)
+        host = self._host
         return Echo(
             ping.nonce,
             host.name,
             host.incarnation,
             reply,
-            self._reports.changes_for(ping.digest, instant),
+            self._reports.changes_for(ping, self._pace.publish_interval),
             self._freshness.build_report(),
-            host.clock.local_wall_time(instant),
+            host.clock.local_wall_time(now()),
             self._quota_levels_for(ping),
         )
 
@@ -333,44 +294,20 @@
         reply = self._merge_gossip(ping)
         if not is_earlier:
             return
-        self._apply_report(ping, ping.report)
+        self._reports.apply_whole(ping)
         host = self._host
         echo = ReportEcho(
             ping.nonce,
             host.name,
             host.incarnation,
             reply,
-            self._build_report(),
+            self._reports.build_report(),
             self._freshness.build_report(),
             host.clock.local_wall_time(now()),
             self._quota_levels_for(ping),
         )
         self._transport.sendto(encode_datagram(echo), address)
 
-    def _apply_report(
-        self, message: ReportPing | ReportEcho, report: HostReport
-    ) -> None:
-        """Apply the whole report of a host, which is not relayed to others.
-
-        Hosts of earlier versions report to each other host themselves.
-        """
-        name, incarnation = message.host, message.incarnation
-        self._reported_at_by_process[f"{name}@{incarnation}"] = now()
-        self._apply_changes(
-            ReportChanges(
-                name,
-                incarnation,
-                0,
-                0,
-                0,
-                report.usage,
-                report.spent,
-                report.loads,
-                report.can_relay,
-                report.can_read,
-            )
-        )
-
     def _record_contact(
         self, message: Ping | Echo | ReportPing | ReportEcho, protocol: PeerProtocol
     ) -> None:
@@ -383,22 +320,6 @@
                 extra={"peer": name, "protocol": int(protocol)},
             )
 
-    def _apply_changes(self, changes: ReportChanges) -> None:
-        """Apply what has changed in the report of a process."""
-        host = self._host
-        name, incarnation = changes.host, changes.incarnation
-        instant = now()
-        if self._contacts.record(name, incarnation, changes.seen_at(instant), instant):
-            host.can_relay_by_peer[name] = changes.can_relay
-            host.can_read_by_peer[name] = changes.can_read
-            if changes.loads is not None:
-                host.chooser.observe(name, changes.loads)
-        process = changes.process_id
-        is_recent = incarnation > host.incarnation - RECENT_START_MS
-        host.quotas.observe(process, changes.spent, instant, is_recent=is_recent)
-        previous = host.usage_by_process.get(process, {})
-        host.usage_by_process[process] = merge_counts(previous, changes.usage)
-
     def _handle_echo(self, echo: Echo | ReportEcho) -> None:
         pending_ping = self._pending_pings_by_nonce.pop(echo.nonce, None)
         if pending_ping is None or pending_ping.host != echo.host:
@@ -406,11 +327,10 @@
         match echo:
             case Echo():
                 self._record_contact(echo, PeerProtocol.REPORT_CHANGES)
-                for changes in self._reports.merge(echo.changes, now()):
-                    self._apply_changes(changes)
+                self._reports.merge(echo.changes)
             case ReportEcho():
                 self._record_contact(echo, PeerProtocol.WHOLE_REPORTS)
-                self._apply_report(echo, echo.report)
+                self._reports.apply_whole(echo)
         self._merge_gossip(echo)
         midpoint = (pending_ping.sent_at + now()) / 2
         self._host.clock.observe(echo.host, echo.wall_time, midpoint)
