--- a/src/amaranthhollow/cli/main.py
+++ b/src/amaranthhollow/cli/main.py
@@ -7,6 +7,7 @@
 from amaranthhollow.cli.config_commands import config
 from amaranthhollow.cli.host_commands import drain, state, status
 from amaranthhollow.cli.log_commands import request
+from amaranthhollow.cli.registry_commands import hosts
 
 __all__ = ["main"]
 
@@ -26,3 +27,4 @@
 main.add_command(state)
 main.add_command(drain)
 main.add_command(request)
+main.add_command(hosts)
--- a/src/amaranthhollow/decisions/peer_protocols.py
+++ b/src/amaranthhollow/decisions/peer_protocols.py
@@ -70,6 +70,7 @@
         """
         self._known_by_host.pop(host, None)
 
-    def count(self, protocol: PeerProtocol) -> int:
-        """Return the number of peers that use a protocol."""
-        return sum(k.protocol is protocol for k in self._known_by_host.values())
+    def hosts_of(self, protocol: PeerProtocol) -> list[str]:
+        """Return the peers that use a protocol, by name."""
+        known = self._known_by_host.items()
+        return sorted(host for host, k in known if k.protocol is protocol)
--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -44,6 +44,17 @@
         self.value = 0.0
 
 
+class LabelledGaugeMetric:
+    """A value for each value of one label."""
+
+    def __init__(self, name: str, description: str, label: str) -> None:
+        """Create a gauge without values."""
+        self.name = f"{PREFIX}_{name}"
+        self.description = description
+        self.label = label
+        self.values: dict[str, float] = {}
+
+
 class LatencyMetric:
     """A histogram of seconds for each route."""
 
@@ -120,9 +131,13 @@
             "configuration_age_seconds",
             "Age of the proof that the configuration is the newest.",
         )
-        self.peers_of_earlier_versions = GaugeMetric(
-            "peers_of_earlier_versions",
-            "Peers that exchange whole reports, as earlier versions do.",
+        self.peers_by_protocol = LabelledGaugeMetric(
+            "peers_by_protocol",
+            "Peers that have sent messages, by the protocol of these.",
+            "protocol",
+        )
+        self.build_info = LabelledGaugeMetric(
+            "build_info", "1 for the build that runs.", "build"
         )
         self.endpoints_age = GaugeMetric(
             "endpoints_age_seconds",
@@ -160,6 +175,12 @@
                     )
                     for route, seconds in metric.sums_by_route.items():
                         family.add_metric([route], metric.buckets(route), seconds)
+                case LabelledGaugeMetric():
+                    family = GaugeMetricFamily(
+                        metric.name, metric.description, labels=[metric.label]
+                    )
+                    for label_value, value in metric.values.items():
+                        family.add_metric([label_value], value)
                 case GaugeMetric():
                     family = GaugeMetricFamily(
                         metric.name, metric.description, metric.value
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -11,7 +11,7 @@
 
 from amaranthhollow.decisions.gossip import PeerRotation
 from amaranthhollow.decisions.peer_protocols import PeerProtocol
-from amaranthhollow.decisions.peer_warnings import UnreadableMessages
+from amaranthhollow.decisions.peer_warnings import MixedVersions, UnreadableMessages
 from amaranthhollow.decisions.quota import MIN_COUNTS_AGE_SECONDS, HostCounts
 from amaranthhollow.decisions.reports import exchange_pace
 from amaranthhollow.entry.contacts import Contacts
@@ -54,6 +54,7 @@
 # A host of an earlier version pings each peer once in that many rounds of 0.25 s.
 PEERS_PER_EARLIER_ROUND = 12
 EARLIER_ROUND_SECONDS = 0.25
+MAX_NAMED_HOSTS = 10
 
 log = logbook.Logger("peers")
 
@@ -96,6 +97,7 @@
         self._next_lost_ping_at = 0.0
         self._rotation = PeerRotation(host.random)
         self._unreadable = UnreadableMessages()
+        self._mixed = MixedVersions()
 
     def register(self, consumer: FactConsumer) -> None:
         """Pass the new facts of a consumer's kinds to it."""
@@ -213,9 +215,7 @@
         self._pace = exchange_pace(len(peers))
         host.spread_seconds = self._pace.spread_seconds
         limit = ECHO_TIMEOUT_SECONDS + self._pace.max_age_seconds
-        earlier_count = host.protocols.count(PeerProtocol.WHOLE_REPORTS)
-        host.metrics.peers_of_earlier_versions.value = earlier_count
-        if earlier_count:
+        if self._update_protocols(instant):
             rounds = len(peers) / PEERS_PER_EARLIER_ROUND
             limit = max(limit, 2 * EARLIER_ROUND_SECONDS * rounds)
         reachable = tuple(self._contacts.seen_since(instant - limit))
@@ -233,6 +233,25 @@
             host.sharing_hosts = tuple(sorted({*known, host.name}))
         self._forget_ended(instant)
 
+    def _update_protocols(self, instant: float) -> bool:
+        """Return whether any peers are of earlier versions, and warn if for long."""
+        host = self._host
+        for protocol in PeerProtocol:
+            count = len(host.protocols.hosts_of(protocol))
+            host.metrics.peers_by_protocol.values[str(int(protocol))] = count
+        earlier = host.protocols.hosts_of(PeerProtocol.WHOLE_REPORTS)
+        seconds = self._mixed.record(len(earlier), instant)
+        if seconds is not None:
+            log.warning(
+                "hosts of several versions",
+                extra={
+                    "seconds": round(seconds),
+                    "earlier": len(earlier),
+                    "first_hosts": earlier[:MAX_NAMED_HOSTS],
+                },
+            )
+        return bool(earlier)
+
     def _forget_ended(self, instant: float) -> None:
         """Drop what is known of hosts and processes that were not seen for long."""
         host = self._host
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -10,9 +10,12 @@
 
 import logbook
 
+from amaranthhollow import __version__
+from amaranthhollow.build import build_name
 from amaranthhollow.decisions.choice import EndpointChooser
 from amaranthhollow.decisions.duties import DutyState
 from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus, Membership
+from amaranthhollow.decisions.peer_protocols import PeerProtocol
 from amaranthhollow.decisions.quota import QuotaLimiter, QuotaTolerance
 from amaranthhollow.decisions.site import RequestLimits
 from amaranthhollow.decisions.site_clock import SiteClock
@@ -164,7 +167,7 @@
         tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
         for task in tasks:
             task.add_done_callback(_log_task_failure)
-        log.info("started", extra={"host": host.name, "incarnation": host.incarnation})
+        self._log_start()
         await self._stop_requested.wait()
         await self._drain()
         for task in tasks:
@@ -173,6 +176,20 @@
             listener.stop()
         log.info("stopped", extra={"host": host.name})
 
+    def _log_start(self) -> None:
+        host, build = self.host, build_name()
+        host.metrics.build_info.values[build] = 1.0
+        log.info(
+            "started",
+            extra={
+                "host": host.name,
+                "incarnation": host.incarnation,
+                "software": __version__,
+                "build": build,
+                "protocol": int(max(PeerProtocol)),
+            },
+        )
+
     async def _drain(self) -> None:
         """Wait until the load balancer removes this host, then finish open requests."""
         stopped_at = now()
--- a/src/amaranthhollow/entry/site_sync.py
+++ b/src/amaranthhollow/entry/site_sync.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err
 
+from amaranthhollow.build import build_name
 from amaranthhollow.decisions.freshness import (
     READ_INTERVAL_SECONDS,
     Freshness,
@@ -17,13 +18,18 @@
     seconds_until_retry,
 )
 from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus
+from amaranthhollow.decisions.peer_protocols import PeerProtocol
 from amaranthhollow.platform.names import (
     CONFIGURATION_KEY,
     ENDPOINT_PREFIX,
-    SYSTEM_KEY_PREFIX,
 )
 from amaranthhollow.platform.store import Write
 from amaranthhollow.serving.clock import now
+from amaranthhollow.state.host_registry import (
+    HOSTS_PREFIX,
+    RegisteredHost,
+    decode_hosts,
+)
 from amaranthhollow.state.site_state import EndpointSnapshot, StoredEntry
 
 if TYPE_CHECKING:
@@ -48,7 +54,6 @@
 WATCH_SECONDS = 0.5
 MIN_WATCH_SECONDS = 0.02
 UNKNOWN_VERSION = -2
-HOSTS_PREFIX = f"{SYSTEM_KEY_PREFIX}hosts/"
 # A registration tells new hosts whom to ask. Gossip tells who is alive, so the entry of
 # a host that is gone costs a new one only a few pings.
 REGISTRATION_LEASE_SECONDS = 60.0
@@ -261,7 +266,7 @@
             return
         lease = granted.ok_value
         key = f"{HOSTS_PREFIX}{self._host.name}"
-        value = msgspec.msgpack.encode(_daemon_info(self._host))
+        value = msgspec.msgpack.encode(_registered_host(self._host))
         write = Write(key, value, lease.lease_id)
         written = await store.change({}, (write,), CALL_TIMEOUT_SECONDS)
         if not isinstance(written, Err) and written.ok_value is not None:
@@ -277,23 +282,26 @@
             return
         self._has_list = True
         self._next_list_at = now() + LIST_INTERVAL_SECONDS
-        for item in listed.ok_value.items:
-            self._add_listed_host(item.key.removeprefix(HOSTS_PREFIX), item.value)
-
-    def _add_listed_host(self, name: str, value: bytes) -> None:
-        try:
-            info = msgspec.msgpack.decode(value, type=DaemonInfo)
-        except msgspec.DecodeError as error:
-            extra = {"host": name, "error": str(error)}
+        hosts_by_name, errors_by_name = decode_hosts(listed.ok_value)
+        for name, error in errors_by_name.items():
+            extra = {"host": name, "error": error}
             log.warning("host entry unreadable", extra=extra)
-            return
-        if name != self._host.name:
-            self._host.membership.add_listed(name, info, now())
+        for name, entry in hosts_by_name.items():
+            if name != self._host.name:
+                info = DaemonInfo(entry.address, entry.data_centre, entry.status)
+                self._host.membership.add_listed(name, info, now())
 
 
-def _daemon_info(host: Host) -> DaemonInfo:
+def _registered_host(host: Host) -> RegisteredHost:
     settings = host.settings
-    return DaemonInfo(settings.address, settings.data_centre, DaemonStatus.ALIVE)
+    return RegisteredHost(
+        settings.address,
+        settings.data_centre,
+        DaemonStatus.ALIVE,
+        host.incarnation,
+        build_name(),
+        max(PeerProtocol),
+    )
 
 
 def _endpoint_snapshot(snapshot: Snapshot) -> EndpointSnapshot:
--- a/tests/compatibility/test_recorded_messages.py
+++ b/tests/compatibility/test_recorded_messages.py
@@ -24,6 +24,7 @@
     StreamStarted,
     decode_datagram,
 )
+from amaranthhollow.state.host_registry import RegisteredHost
 from amaranthhollow.state.site_state import EndpointSnapshot
 from tests.compatibility import samples
 from tests.compatibility.earlier_build import EARLIER_COMMITS
@@ -32,7 +33,7 @@
 # The commits whose hosts exchange whole reports.
 WHOLE_REPORTS = ("8569ab7", "7c57ee7")
 RECORDS = {
-    "host entry": DaemonInfo,
+    "host entry": RegisteredHost,
     "endpoints": EndpointSnapshot,
     "stream record": StreamRecord,
     "usage ledger": UsageLedger,
@@ -103,6 +104,14 @@
         "is_complete",
     ),
     DaemonInfo: ("address", "data_centre", "status"),
+    RegisteredHost: (
+        "address",
+        "data_centre",
+        "status",
+        "incarnation",
+        "build",
+        "protocol",
+    ),
     EndpointSnapshot: ("revision", "entries", "era"),
     StreamRecord: ("written_at", "complete_since", "versions_by_service", "origins"),
     UsageLedger: ("reports", "counts", "quota_levels", "levels_at"),
--- a/tests/decisions/test_peer_protocols.py
+++ b/tests/decisions/test_peer_protocols.py
@@ -30,7 +30,7 @@
     protocols.record("a", 7, CURRENT)
 
     assert protocols.forms_for("a") == (EARLIER,)
-    assert (protocols.count(EARLIER), protocols.count(CURRENT)) == (1, 0)
+    assert (protocols.hosts_of(EARLIER), protocols.hosts_of(CURRENT)) == (["a"], [])
 
 
 def test_forgotten_host_is_addressed_in_all_forms():
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -36,6 +36,15 @@
         "Age of the proof that the list of endpoints is the newest.",
         registry=registry,
     )
+    peers = Gauge(
+        "amaranthhollow_peers_by_protocol",
+        "Peers that have sent messages, by the protocol of these.",
+        ["protocol"],
+        registry=registry,
+    )
+    for protocol, count in (("1", 3), ("2", 0)):
+        peers.labels(protocol).set(count)
+        metrics.peers_by_protocol.values[protocol] = count
     for status in (200, 200, 503):
         answers.labels("plain", status).inc()
         metrics.answers.increment("plain", status)
@@ -47,5 +56,10 @@
 
     exposition, reference = metrics.exposition(), generate_latest(registry)
 
-    for name in ("_answers", "_answer_seconds", "_endpoints_age_seconds"):
+    for name in (
+        "_answers",
+        "_answer_seconds",
+        "_endpoints_age_seconds",
+        "_peers_by_protocol",
+    ):
         assert lines_of(exposition, name) == lines_of(reference, name)
