--- a/tests/statement_rule.py
+++ b/tests/statement_rule.py
@@ -46,8 +46,10 @@
             and told.at + TOLD_SECONDS < arrival.at < told.at + told.rest_seconds
         ]
         if len(arrived) > TOLERATED_REQUESTS:
+            times = ", ".join(f"{arrival.at - told.at:.2f}" for arrival in arrived)
             violations.append(
                 f"{len(arrived)} requests of {told.sender} within {told.rest_seconds} s"
+                f" after {told.at:.2f}: {times}"
             )
     return violations
 
