Test that duties pass between versions without a lost or second count

Every answered request is in one reported window, windows have one content, and fencing tokens rise.

--- a/tests/compatibility/test_two_builds.py
+++ b/tests/compatibility/test_two_builds.py
@@ -144,6 +144,48 @@
     assert all(len(found) == 1 for found in contents.values())
 
 
+async def test_duties_pass_between_versions_without_a_lost_or_second_count(mixed):
+    for name in HOSTS:
+        await mixed.start(name, is_earlier=True)
+    await mixed.wait_until_all_meet()
+    sent, holders = 0, []
+    for is_earlier in (False, True, False):
+        sent += await _send_to_all(mixed)
+        holders.append(await _wait_for_holder(mixed.site, sent))
+        await mixed.replace(holders[-1], is_earlier=is_earlier)
+        await mixed.wait_until_all_meet()
+    sent += await _send_to_all(mixed)
+    await _wait_for_holder(mixed.site, sent)
+    await asyncio.sleep(1.0)
+
+    assert _reported(mixed.site) == sent
+    tokens = [token for _, token, _ in mixed.site.store.usage]
+    assert tokens == sorted(tokens)
+    assert len(set(tokens)) > len(HOSTS)
+    contents = {}
+    for _, _, report in mixed.site.store.usage:
+        contents.setdefault(report["window_id"], set()).add(str(report["counts"]))
+    assert all(len(found) == 1 for found in contents.values())
+
+
+async def _send_to_all(mixed):
+    """Send requests to all hosts, and return how many were answered."""
+    answered = 0
+    for _ in range(4):
+        for name in HOSTS:
+            answered += (await mixed.send(name, 2)).count(200)
+        await asyncio.sleep(0.3)
+    return answered
+
+
+async def _wait_for_holder(site, reported):
+    """Return which host holds the duties once so many requests are reported."""
+    async with asyncio.timeout(15):
+        while _reported(site) < reported:
+            await asyncio.sleep(0.1)
+    return site.store.usage[-1][0]
+
+
 def _reported(site):
     """Return the requests in all reported windows, each window once."""
     counts_by_window = {r["window_id"]: r["counts"] for _, _, r in site.store.usage}
