--- a/tests/entry/test_forged_datagrams.py
+++ b/tests/entry/test_forged_datagrams.py
@@ -105,3 +105,21 @@
     assert "ping of 5" in {w["form"] for w in warnings}
     assert all(len(w["form"]) <= 40 for w in warnings)
     assert (await site.send_request(first, "/plain/", "r1")).status == 200
+
+
+async def test_host_that_has_moved_to_another_address_is_heard(site, pair):
+    first, _ = pair
+    site.terminate("host-2")
+    await asyncio.to_thread(site.processes["host-2"].wait, 15)
+    moved_address = site.start_daemon("host-2", 23)
+    await site.wait_ready(moved_address)
+    await wait_for(lambda: newest(site, "host-2")["reachable"] == 1)
+    await asyncio.sleep(1.0)
+    name = 'datagrams_total{kind="other address"}'
+    counted = [await read_metric(site, first, name)]
+    await asyncio.sleep(4.0)
+    counted.append(await read_metric(site, first, name))
+
+    assert counted[0] == counted[1]
+    assert newest(site, "host-1")["reachable"] == 1
+    assert newest(site, "host-2")["reachable"] == 1
