--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,15 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 from tests.networks import next_network
 from tests.site import Site, write_example_configuration
 
+# Models run in virtual time; how long that takes is up to the machine.
+settings.register_profile("models", deadline=None)
+settings.load_profile("models")
+
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 FLAKY_PREFIX = "Flaky test: "
 FAILING_PREFIX = "Failing test: "
