Tell a lost list of endpoints from one without usable endpoints

An operator who saw nothing but 503 without endpoints could not tell whether none was listed, all were left out by limits, or the list could not be read, nor whether a background task had ended. Request lines now say how many endpoints were usable, and two gauges show the entries listed and usable, and the tasks that run. No logic changes.

--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -139,6 +139,14 @@
         self.build_info = LabelledGaugeMetric(
             "build_info", "1 for the build that runs.", "build"
         )
+        self.endpoint_entries = LabelledGaugeMetric(
+            "endpoint_entries",
+            "Entries in the list of endpoints, and those of them that are usable.",
+            "state",
+        )
+        self.background_tasks = LabelledGaugeMetric(
+            "background_tasks", "1 while a background task runs, else 0.", "task"
+        )
         self.endpoints_age = GaugeMetric(
             "endpoints_age_seconds",
             "Age of the proof that the list of endpoints is the newest.",
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -152,21 +152,25 @@
         await self.peering.start()
         cloud = CloudClient(HttpClient(*_split_address(self._settings.cloud)))
         host = self.host
-        coroutines = [
-            self.peering.run(),
-            SiteSync(host).run(),
-            HostRegistration(host).run(),
-            DutyLease(host).run(),
-            UsageDuty(host, cloud).run(),
-            ScalingDuty(host, cloud).run(),
-            host.crash_detector.run(),
-            self._origins.run(),
-            LinkProbe(host).run(),
-            self._run_maintenance(),
+        coroutines_by_name = {
+            "peering": self.peering.run(),
+            "site sync": SiteSync(host).run(),
+            "host registration": HostRegistration(host).run(),
+            "duty lease": DutyLease(host).run(),
+            "usage duty": UsageDuty(host, cloud).run(),
+            "scaling duty": ScalingDuty(host, cloud).run(),
+            "crash detector": host.crash_detector.run(),
+            "stream origins": self._origins.run(),
+            "link probe": LinkProbe(host).run(),
+            "maintenance": self._run_maintenance(),
+        }
+        tasks = [
+            asyncio.create_task(coroutine, name=name)
+            for name, coroutine in coroutines_by_name.items()
         ]
-        tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
         for task in tasks:
-            task.add_done_callback(_log_task_failure)
+            host.metrics.background_tasks.values[task.get_name()] = 1.0
+            task.add_done_callback(self._record_task_end)
         self._log_start()
         await self._stop_requested.wait()
         await self._drain()
@@ -221,6 +225,10 @@
             instant = now()
             metrics.configuration_age.value = site.configuration_freshness.age(instant)
             metrics.endpoints_age.value = site.endpoints_freshness.age(instant)
+            metrics.endpoint_entries.values["listed"] = len(site.snapshot.entries)
+            metrics.endpoint_entries.values["usable"] = sum(
+                not endpoint.is_reclaimed for endpoint in listed
+            )
             self._update_readiness()
 
     def _request_limits(self) -> RequestLimits:
@@ -251,6 +259,15 @@
         body = self.host.metrics.exposition()
         exchange.respond(200, [(b"content-type", CONTENT_TYPE)], body)
 
+    def _record_task_end(self, task: asyncio.Task[None]) -> None:
+        """Log that a background task has failed, which nothing starts again."""
+        self.host.metrics.background_tasks.values[task.get_name()] = 0.0
+        if not task.cancelled() and task.exception() is not None:
+            log.error(
+                "background task failed",
+                extra={"task": task.get_name(), "error": repr(task.exception())},
+            )
+
     def _log_settings_change(self) -> None:
         """Log that changed settings need a restart, since addresses are bound once."""
         log.info("settings changed; restart to apply them")
@@ -297,8 +314,3 @@
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-def _log_task_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log.error("background task failed", extra={"error": repr(task.exception())})
--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -134,6 +134,11 @@
         can_fetch = self._site.shares_cache(admitted.service)
         return self._chooser.choose(usable, prompt, tried, instant, can_fetch=can_fetch)
 
+    def describe_choice(self, service: str, tried: list[str]) -> str:
+        """Return why no endpoint of a service can be chosen, for logs."""
+        usable = self._site.usable_endpoints(service, now())
+        return f"no endpoint: {len(usable)} usable, {len(tried)} tried"
+
     def cache_source(
         self, admitted: Admitted, chosen: Endpoint, prompt: PromptShape | None
     ) -> str | None:
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -91,6 +91,11 @@
         while True:
             endpoint = self._next_endpoint()
             if endpoint is None:
+                self._log_failure(
+                    self._forwarder.describe_choice(
+                        self._admitted.service, self._tried_hosts
+                    )
+                )
                 return self._respond_with_failure()
             self._tried_hosts.append(endpoint.host)
             match await self._run_attempt(endpoint):
