Use the other endpoints beside an entry that cannot be decoded

Callers got 503 for every request, or broken connections for a third of them, for as long as another writer wrote one odd entry among the endpoints': nested 100,000 deep, a number of 401 digits, a port out of range, a NUL in the address.

Cause: the decoder expected three kinds of exception and met others (RecursionError, OverflowError, later on encoding the endpoint), the list counted as applied before it was decoded, so that the same list was not tried again, and values were accepted that nothing could connect to. Hosts that ran already had their earlier list, which is why only the loss of all hosts shows it whole.

An entry is now decoded, with the ranges of its values, in one step that returns a result whatever the bytes are. One that is no use is left out and logged once for each reason. The list counts as applied once it has been decoded, and connecting to what is no address fails like any other connection.

--- a/src/amaranthhollow/platform/documents.py
+++ b/src/amaranthhollow/platform/documents.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from socket import AF_INET, inet_pton
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -17,6 +20,7 @@
     SiteWorkspace,
     WeightedService,
 )
+from amaranthhollow.decoding import Label, Milliseconds, decode_json
 
 __all__ = ["decode_configuration", "decode_endpoint"]
 
@@ -30,6 +34,12 @@
     "draining": EndpointStatus.LEAVING,
 }
 TOKEN_UNIT = "token_count"
+# Above the number of requests that any endpoint runs at once.
+MAX_SLOTS = 1_000_000
+MAX_PORT = 65_535
+# Of the first byte of an IP address: 0 names no host, and from 224 on addresses are
+# those of groups (RFC 1112) or reserved.
+HOST_ADDRESSES = range(1, 224)
 
 
 class WireShare(msgspec.Struct, frozen=True):
@@ -126,17 +136,17 @@
 class WireEndpoint(msgspec.Struct, frozen=True):
     """An entry that an endpoint writes to the store."""
 
-    service: str = msgspec.field(name="backend")
-    address: str
-    data_centre: str = msgspec.field(name="zone")
-    slots: int
-    state: str
+    service: Label = msgspec.field(name="backend")
+    address: Label
+    data_centre: Label = msgspec.field(name="zone")
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Label
     # Start of the endpoint, in milliseconds since the Unix epoch.
-    started_ms: int = msgspec.field(name="born", default=0)
+    started_ms: Milliseconds = msgspec.field(name="born", default=0)
     is_reclaimable: bool = msgspec.field(name="spot", default=False)
     # Not a time: milliseconds from the write of the entry to the endpoint's reclaim.
     leaves_ms: float | None = None
-    software_version: str = msgspec.field(name="version", default="")
+    software_version: Label = msgspec.field(name="version", default="")
 
 
 def decode_configuration(value: bytes) -> Result[SiteConfiguration, str]:
@@ -162,26 +172,55 @@
 
 
 def decode_endpoint(endpoint_id: str, value: bytes) -> Result[ListedEndpoint, str]:
-    """Return the endpoint of an entry, or the reason why it cannot be decoded."""
-    try:
-        wire = msgspec.json.decode(value, type=WireEndpoint)
-        address, _, port = wire.address.rpartition(":")
-        return Ok(
-            ListedEndpoint(
-                host=endpoint_id,
-                incarnation=wire.started_ms,
-                address=address,
-                port=int(port),
-                data_centre=wire.data_centre,
-                deployment=wire.service,
-                status=STATUSES_BY_NAME[wire.state],
-                slots=wire.slots,
-                is_reclaimable=wire.is_reclaimable,
-                software_version=wire.software_version,
-            )
+    """Return the endpoint of an entry, or the reason why it cannot be used.
+
+    Other writers may leave entries, so nothing is raised whatever the entry is, and an
+    endpoint that is returned can be connected to and named in a header.
+    """
+    if not _is_header_text(endpoint_id):
+        return Err("the identifier has characters that no header can hold")
+    return decode_json(value, WireEndpoint).and_then(
+        lambda wire: _listed_endpoint(endpoint_id, wire)
+    )
+
+
+def _listed_endpoint(
+    endpoint_id: str, wire: WireEndpoint
+) -> Result[ListedEndpoint, str]:
+    address, _, port = wire.address.rpartition(":")
+    if not _is_host_address(address):
+        return Err("`address` has no IP address of a host")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        return Err("`address` has no port from 1 to 65535")
+    if wire.state not in STATUSES_BY_NAME:
+        return Err("`state` is none of " + ", ".join(STATUSES_BY_NAME))
+    return Ok(
+        ListedEndpoint(
+            host=endpoint_id,
+            incarnation=wire.started_ms,
+            address=address,
+            port=int(port),
+            data_centre=wire.data_centre,
+            deployment=wire.service,
+            status=STATUSES_BY_NAME[wire.state],
+            slots=wire.slots,
+            is_reclaimable=wire.is_reclaimable,
+            software_version=wire.software_version,
         )
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+    )
+
+
+def _is_header_text(text: str) -> bool:
+    """Return whether a text is visible ASCII, so that it cannot end a header."""
+    return text.isascii() and text.isprintable() and " " not in text and text != ""
+
+
+def _is_host_address(address: str) -> bool:
+    """Return whether a text is the IPv4 address of a single host."""
+    try:
+        return inet_pton(AF_INET, address)[0] in HOST_ADDRESSES
+    except (OSError, ValueError):
+        return False
 
 
 def _route(wire: WireRoute) -> Route:
--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -273,14 +273,17 @@
 async def connect(
     address: str, port: int, timeout_seconds: float
 ) -> EndpointConnection | None:
-    """Connect to an endpoint; return None on an error or a timeout."""
+    """Connect to an endpoint; return None on an error or a timeout.
+
+    Text that is no address, and a port out of range, are errors too.
+    """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_seconds):
             transport, connection = await loop.create_connection(
                 EndpointConnection, address, port
             )
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError, OverflowError):
         return None
     set_timeouts(transport.get_extra_info("socket"))
     return connection
--- a/src/amaranthhollow/state/site_state.py
+++ b/src/amaranthhollow/state/site_state.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from hashlib import blake2b
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import logbook
@@ -41,6 +42,8 @@
 # entries expire, three heartbeats of 1.2 s later (platform documentation, service
 # discovery), and is read one read interval later.
 GONE_ENDPOINT_RETENTION_SECONDS = 4.5
+# Of one read; another writer may leave entries by the hundred.
+MAX_UNREADABLE_LINES = 10
 
 log = logbook.Logger("site")
 
@@ -102,6 +105,7 @@
         self.fingerprint = 0
         self._listed_by_id: dict[str, ListedEndpoint] = {}
         self._entries_by_id: dict[str, StoredEntry] = {}
+        self._error_by_id: dict[str, str] = {}
         self._grace_until = 0.0
         self._resumed_at = 0.0
         self._restored_at: float | None = None
@@ -168,13 +172,13 @@
             return False
         if self._was_store_unreachable(now) and self._listed_by_id:
             self._grace_until = now + RECOVERY_GRACE_SECONDS
-        self.endpoints_freshness = self.endpoints_freshness.refreshed(confirmed_at)
         fingerprint = snapshot.fingerprint
-        self.snapshot = snapshot
         has_changed = fingerprint != self.fingerprint
-        self.fingerprint = fingerprint
         if has_changed:
             self._decode_entries(snapshot)
+        self.snapshot = snapshot
+        self.fingerprint = fingerprint
+        self.endpoints_freshness = self.endpoints_freshness.refreshed(confirmed_at)
         if has_changed or self._grace_until:
             self._update_listed(now)
         return has_changed
@@ -253,6 +257,8 @@
         return found is not None and found.shares_cache
 
     def _decode_entries(self, snapshot: EndpointSnapshot) -> None:
+        """Apply the entries that have changed; one that is unreadable is left out."""
+        unreadable: dict[str, str] = {}
         for entry in snapshot.entries:
             if self._entries_by_id.get(entry.endpoint_id) == entry:
                 continue
@@ -260,15 +266,24 @@
             decoded = self._decoders.endpoint(entry.endpoint_id, entry.value)
             if isinstance(decoded, Err):
                 self._listed_by_id.pop(entry.endpoint_id, None)
-                log.warning(
-                    "endpoint entry unreadable; sending the endpoint no new requests",
-                    extra={"endpoint": entry.endpoint_id, "error": decoded.err_value},
-                )
+                unreadable[entry.endpoint_id] = decoded.err_value
                 continue
+            self._error_by_id.pop(entry.endpoint_id, None)
             if self._is_outdated(decoded.ok_value):
                 continue
             self._listed_by_id[entry.endpoint_id] = decoded.ok_value
             self._apply_entry(decoded.ok_value)
+        self._log_unreadable(unreadable)
+
+    def _log_unreadable(self, error_by_id: dict[str, str]) -> None:
+        """Log why entries cannot be read, once for each until the reason changes."""
+        new = {e: r for e, r in error_by_id.items() if self._error_by_id.get(e) != r}
+        self._error_by_id |= new
+        for endpoint_id, error in islice(new.items(), MAX_UNREADABLE_LINES):
+            log.warning(
+                "endpoint entry unreadable; sending the endpoint no new requests",
+                extra={"endpoint": endpoint_id, "error": error, "of": len(new)},
+            )
 
     def _apply_entry(self, listed: ListedEndpoint) -> None:
         endpoint = self.endpoints.apply(endpoint_fact(listed), 0.0)
@@ -302,6 +317,7 @@
 
     def _remove_entry(self, endpoint_id: str) -> None:
         del self._entries_by_id[endpoint_id]
+        self._error_by_id.pop(endpoint_id, None)
         if self._listed_by_id.pop(endpoint_id, None) is not None:
             log.info("endpoint entry removed", extra={"endpoint": endpoint_id})
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import json
+from socket import AF_INET, inet_pton
 
+import msgspec
+import pytest
 from hypothesis import given, settings, strategies as st
 from result import Err, Ok
 
@@ -118,6 +121,90 @@
         assert isinstance(decode_endpoint("i-1", json.dumps(rest).encode()), Err)
 
 
+# One entry with such a value made hosts lose the whole list, or broke connections off.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:-1"},
+        {"address": "10.0.0.1:+80"},
+        {"address": "10.0.0.1:8_0"},
+        {"address": "10.0.0.1:\u0668\u0660"},
+        {"address": "10.0.0.1:" + "9" * 5000},
+        {"address": "\x00:80"},
+        {"address": "10.0.0:80"},
+        {"address": "host.example:80"},
+        {"address": "0.0.0.0:80"},
+        {"address": "255.255.255.255:80"},
+        {"address": "[::1]:80"},
+        {"slots": 0},
+        {"slots": -1},
+        {"slots": 10**400},
+        {"slots": 1.5},
+        {"born": -1},
+        {"born": 2**64},
+        {"born": 10**400},
+        {"version": "v" * 100_000},
+        {"zone": "z" * 100_000},
+    ],
+    ids=lambda change: str(change)[:30],
+)
+def test_decode_endpoint_rejects_what_cannot_be_used(change):
+    value = json.dumps({**ENDPOINT, **change}).encode()
+
+    assert isinstance(decode_endpoint("i-1", value), Err)
+
+
+def test_decode_endpoint_rejects_a_number_of_thousands_of_digits():
+    value = json.dumps(ENDPOINT).replace('"slots": 64', '"slots": ' + "9" * 5000)
+
+    assert isinstance(decode_endpoint("i-1", value.encode()), Err)
+
+
+@pytest.mark.parametrize("depth", [100, 100_000])
+def test_depth_of_a_field_that_is_not_read_is_no_fault_of_the_host(depth):
+    nested = b"[" * depth + b"]" * depth
+    value = json.dumps(ENDPOINT).encode()[:-1] + b', "other": ' + nested + b"}"
+
+    assert isinstance(decode_endpoint("i-1", value), Ok if depth == 100 else Err)
+
+
+# The identifier is sent in a header.
+@pytest.mark.parametrize("endpoint_id", ["", "a b", "a\r\nX: 1", "\u00e9", "\ud800"])
+def test_decode_endpoint_rejects_an_identifier_that_no_header_can_hold(endpoint_id):
+    value = json.dumps(ENDPOINT).encode()
+
+    assert isinstance(decode_endpoint(endpoint_id, value), Err)
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers().map(lambda exponent: 10 ** (abs(exponent) % 5000))
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda values: st.lists(values) | st.dictionaries(st.text(), values),
+    max_leaves=8,
+)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(changes=st.dictionaries(st.sampled_from(sorted(ENDPOINT)), JSON_VALUES))
+def test_an_endpoint_that_is_decoded_can_be_stored_and_sent(changes):
+    try:
+        value = json.dumps({**ENDPOINT, **changes}).encode()
+    except ValueError:
+        return
+    match decode_endpoint("i-1", value):
+        case Ok(endpoint):
+            assert msgspec.msgpack.encode(endpoint)
+            assert 0 < endpoint.port < 65536
+            assert endpoint.slots > 0
+            inet_pton(AF_INET, endpoint.address)
+
+
 @settings(max_examples=300, deadline=None, derandomize=True)
 @given(st.data())
 def test_decoders_raise_nothing_for_corrupted_documents(data):
