Place no response without an identifier on a connection used before

Callers were told 'not run, try again' for a request that an endpoint was running, or it ran at a second endpoint: an endpoint wrote an earlier refusal once more on a kept connection, without an identifier. Such a response counted as that of the request on its way, since an endpoint may reject a request before it has read its identifier.

That holds for the first request of a connection only. On later ones, a final response without an identifier now ends the connection, and the outcome of the request is unknown. With the identifier of an earlier request it was ignored before, and still is.

The clients of the store, of the cloud and of peers have no identifier to go by; extra bytes while no call is on its way end their connections, as before. One that comes after the next call was sent would be taken for its response; that is open.

--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -69,9 +69,11 @@
 class EndpointConnection(asyncio.Protocol):
     """HTTP/1.1 client connection that carries one request at a time.
 
-    :meth:`read` returns the events of the response. A response that does not echo
-    the identifier of the request belongs to an earlier one and is ignored. ``relay``
-    is the address of the peer that relays the connection, if any.
+    :meth:`read` returns the events of the response. A response that echoes another
+    identifier belongs to an earlier request and is ignored. One that echoes none may
+    be an earlier one, too, unless the connection has carried no other request. The
+    connection then counts as lost. ``relay`` is the address of the peer that relays
+    the connection, if any.
     """
 
     def __init__(self) -> None:
@@ -82,6 +84,7 @@
         self._queued_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._expected_echo: Header | None = None
+        self._sent_count = 0
         self._expects_body = True
         self._awaits_response = False
         self._must_close = False
@@ -156,9 +159,11 @@
     def on_headers_complete(self) -> None:
         """Queue the head of the expected response."""
         self._is_reading_head = False
-        self._ignores_message = not self._awaits_response or not self._matches_request()
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
+        if self._is_of_unknown_request(status, headers):
+            self._fail("received a response without the identifier of its request")
+        self._ignores_message = not self._awaits_response or not self._matches_request()
         self._is_close_delimited = (
             find_header(headers, b"content-length") is None
             and b"chunked" not in (find_header(headers, b"transfer-encoding") or b"")
@@ -209,6 +214,7 @@
         self._events.clear()
         self._queued_bytes = 0
         self._expected_echo = echo
+        self._sent_count += 1
         self._expects_body = expects_body
         self._awaits_response = True
         self._is_close_delimited = False
@@ -243,6 +249,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _is_of_unknown_request(self, status: int, headers: tuple[Header, ...]) -> bool:
+        """Return whether a final response may be that of an earlier request."""
+        if self._expected_echo is None or self._sent_count == 1 or status < 200:
+            return False
+        return find_header(headers, self._expected_echo[0]) is None
+
     def _matches_request(self) -> bool:
         if self._expected_echo is None:
             return True
