Pass a 408 of an endpoint on only if it states that nothing has run

Callers take 408 as a promise that the request has not run and send it again. A 421, 429 or 503 of an endpoint without that statement became 502 already; a 408 was passed on, so a request that had run could run again.

--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -35,7 +35,7 @@
 
 __all__ = ["RequestRun"]
 
-NOT_RUN_STATUSES = frozenset({421, 429, 503})
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -319,7 +319,7 @@
     def _relay(self, response: ResponseInfo, body: bytes) -> None:
         """Relay a complete response.
 
-        A 421, 429 or 503 that does not state that the request has not run becomes
+        A 408, 421, 429 or 503 that does not state that the request has not run becomes
         502, since these statuses mean that it has not run. If a stream was already
         started from another endpoint, the caller's connection is reset instead.
         """
