Resume a stream only with its next event

Callers found the text of an error, at times its whole head, in the middle of a stream that had broken off, or the stream had an end before its last event: whatever the next endpoint sent under status 200 was joined, and an end without an event was an end.

Nothing compared what came with the last event that the caller had. The order of events is now checked: the first one after a break has to be the next one, later ones may not go back, and text that is no field of an event belongs to no stream. What precedes the fault is sent; the rest is asked for once more while the route allows it, or the response ends incomplete. The same holds for a caller that takes a stream up again. Services whose events leave numbers out are recognised by what their endpoints send in one response, and then only have to rise.

An end without events after a break no longer counts as complete: it looks the same whether the stream was over or the endpoint has failed. A stream that broke off between its last event and its end is incomplete for that reason, and was complete before.

--- a/src/amaranthhollow/serving/forwarder.py
+++ b/src/amaranthhollow/serving/forwarder.py
@@ -7,6 +7,7 @@
 
 from amaranthhollow.serving.attempt import Attempt, EndpointCodec
 from amaranthhollow.serving.clock import now
+from amaranthhollow.serving.event_stream import EventNumbering
 from amaranthhollow.serving.request_run import RequestRun
 
 if TYPE_CHECKING:
@@ -99,6 +100,7 @@
         self._codec = codec
         self._callbacks = callbacks
         self._last_activity_by_endpoint: dict[str, float] = {}
+        self._numbering_by_service: dict[str, EventNumbering] = {}
 
     async def forward(
         self,
@@ -155,6 +157,10 @@
         source = self._chooser.cache_source(usable, chosen, prompt)
         return None if source is None else source.address_and_port
 
+    def event_numbering(self, service: str) -> EventNumbering:
+        """Return how the events of a service's streams are numbered."""
+        return self._numbering_by_service.setdefault(service, EventNumbering())
+
     def new_attempt(self, endpoint: Endpoint) -> Attempt:
         """Create an attempt, which is not sent yet."""
         return Attempt(endpoint, self._pool, self._codec)
--- a/src/amaranthhollow/serving/request_run.py
+++ b/src/amaranthhollow/serving/request_run.py
@@ -77,7 +77,8 @@
         self._sent_count = 0
         self._may_have_run = False
         self._has_retry = False
-        self._splitter = EventSplitter(request.last_event_id)
+        self._numbering = forwarder.event_numbering(admitted.service)
+        self._splitter = EventSplitter(request.last_event_id, self._numbering)
         self._software_version: str | None = None
         self._began_at: float | None = None
         self._silence: SilenceJudge | None = None
@@ -337,7 +338,8 @@
     async def _relay_stream(
         self, attempt: Attempt, endpoint: Endpoint, response: ResponseInfo
     ) -> AttemptResult:
-        self._splitter = EventSplitter(self._splitter.last_event_id)
+        last_event_id = self._splitter.last_event_id
+        self._splitter = EventSplitter(last_event_id, self._numbering)
         while True:
             wait_until = self._event_due_at()
             part = await attempt.read_body_part(wait_until)
@@ -349,6 +351,8 @@
                 case BodyPart(data):
                     self._forwarder.record_activity(endpoint)
                     await self._send_events(attempt, response, data)
+                    if self._splitter.fault is not None:
+                        return OutcomeUnknown(f"{endpoint.host} {self._splitter.fault}")
                     if self._splitter.is_event_too_long:
                         return self._connection_lost(
                             endpoint, "sent an event that exceeds the size limit"
@@ -413,7 +417,7 @@
         has_end = not response.head.is_close_delimited
         if self._splitter.has_partial_event:
             reason = "ended its stream within an event"
-        elif self._began_at is None and not (has_end and self._exchange.has_started):
+        elif not self._splitter.has_event:
             reason = "ended its stream before the first event"
         else:
             self._exchange.finish()
--- a/tests/entry/test_broken_off_streams.py
+++ b/tests/entry/test_broken_off_streams.py
@@ -85,6 +85,12 @@
     ids=["later event", "earlier event", "no identifier", "head of an error"],
 )
 async def test_caller_gets_no_other_event_than_the_next(site, daemon_address, rest):
+    for endpoint in site.endpoints.values():
+        endpoint.default_script = stream_response(
+            sse_event(1), sse_event(2), 0.05, "reset", has_last_chunk=False
+        )
+    begun = await site.send_request(daemon_address, "/stream/", "r1")
+    assert begun.body == sse_event(1) + sse_event(2)
     for endpoint in site.endpoints.values():
         endpoint.default_script = rest
     response = await site.send_request(
