Start background tasks that have failed again

A task of an entry host that ended by an exception was logged once, and its duty was not done again until the process ended: reads of the store, registration, exchange with peers, duties, crash detection, probes of lost links. The host stayed ready without it.

A small supervisor starts a task again after 0.1 s, later up to 5 s while it keeps failing, with jitter, logs where it ended and counts the failures. The levels of quotas are restored from the store once only, since they are older than those of a host that has run on.

--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -147,6 +147,9 @@
         self.background_tasks = LabelledGaugeMetric(
             "background_tasks", "1 while a background task runs, else 0.", "task"
         )
+        self.task_failures = CounterMetric(
+            "task_failures", "Failures of background tasks, by task.", ["task"]
+        )
         self.endpoints_age = GaugeMetric(
             "endpoints_age_seconds",
             "Age of the proof that the list of endpoints is the newest.",
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -35,6 +35,7 @@
 from amaranthhollow.entry.scaling_duty import ScalingDuty
 from amaranthhollow.entry.site_sync import HostRegistration, SiteSync
 from amaranthhollow.entry.stream_origins import StreamOrigins
+from amaranthhollow.entry.supervisor import Supervisor
 from amaranthhollow.entry.usage_duty import UsageDuty
 from amaranthhollow.peers.endpoint_dialer import EndpointDialer
 from amaranthhollow.peers.relay_listener import RelayListener
@@ -152,30 +153,25 @@
         await self.peering.start()
         cloud = CloudClient(HttpClient(*_split_address(self._settings.cloud)))
         host = self.host
-        coroutines_by_name = {
-            "peering": self.peering.run(),
-            "site sync": SiteSync(host).run(),
-            "host registration": HostRegistration(host).run(),
-            "duty lease": DutyLease(host).run(),
-            "usage duty": UsageDuty(host, cloud).run(),
-            "scaling duty": ScalingDuty(host, cloud).run(),
-            "crash detector": host.crash_detector.run(),
-            "stream origins": self._origins.run(),
-            "link probe": LinkProbe(host).run(),
-            "maintenance": self._run_maintenance(),
+        supervisor = Supervisor(host.metrics, host.random.random)
+        runs_by_name = {
+            "peering": self.peering.run,
+            "site sync": SiteSync(host).run,
+            "host registration": HostRegistration(host).run,
+            "duty lease": DutyLease(host).run,
+            "usage duty": UsageDuty(host, cloud).run,
+            "scaling duty": ScalingDuty(host, cloud).run,
+            "crash detector": host.crash_detector.run,
+            "stream origins": self._origins.run,
+            "link probe": LinkProbe(host).run,
+            "maintenance": self._run_maintenance,
         }
-        tasks = [
-            asyncio.create_task(coroutine, name=name)
-            for name, coroutine in coroutines_by_name.items()
-        ]
-        for task in tasks:
-            host.metrics.background_tasks.values[task.get_name()] = 1.0
-            task.add_done_callback(self._record_task_end)
+        for name, run in runs_by_name.items():
+            supervisor.start(name, run)
         self._log_start()
         await self._stop_requested.wait()
         await self._drain()
-        for task in tasks:
-            task.cancel()
+        supervisor.cancel()
         for listener in listeners:
             listener.stop()
         log.info("stopped", extra={"host": host.name})
@@ -259,15 +255,6 @@
         body = self.host.metrics.exposition()
         exchange.respond(200, [(b"content-type", CONTENT_TYPE)], body)
 
-    def _record_task_end(self, task: asyncio.Task[None]) -> None:
-        """Log that a background task has failed, which nothing starts again."""
-        self.host.metrics.background_tasks.values[task.get_name()] = 0.0
-        if not task.cancelled() and task.exception() is not None:
-            log.error(
-                "background task failed",
-                extra={"task": task.get_name(), "error": repr(task.exception())},
-            )
-
     def _log_settings_change(self) -> None:
         """Log that changed settings need a restart, since addresses are bound once."""
         log.info("settings changed; restart to apply them")
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -65,14 +65,16 @@
         self._ledger = EMPTY_LEDGER
         self._position: StorePosition | None = None
         self._fencing_token = 0
+        self._has_begun = False
         self._sent_windows: set[int] = set()
         self._next_save_at = 0.0
         self._first_window = host.usage.window_at(host.wall_time())
 
     async def run(self) -> None:
         """Report windows that are due, until cancelled."""
-        if not self._host.settings.is_first_start:
+        if not self._has_begun and not self._host.settings.is_first_start:
             await self._restore_quota_levels()
+        self._has_begun = True
         while True:
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
             held_lease = self._host.duty.held_lease
