Keep in touch with the other hosts beside an odd entry among theirs

With one entry below the hosts' prefix whose address held a NUL, every host that started lost all its peers for good: asyncio closes a datagram socket on an error that is no OSError, so the first message to that address closed it, and nothing opened it again. An entry nested deeply ended the task that registers the host and lists the others. Quotas, duties, limits and confirmations are then each host's own.

Entries and gossip of hosts are decoded with the ranges of their values and need the IP address of a host. A socket that has been closed is bound again.

--- a/src/amaranthhollow/decisions/membership.py
+++ b/src/amaranthhollow/decisions/membership.py
@@ -12,8 +12,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from result import Ok
 
 from amaranthhollow.decisions.gossip import Fact, GossipTable, Version
+from amaranthhollow.decoding import Label, decode_msgpack, is_host_address
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -47,8 +49,8 @@
 class DaemonInfo(msgspec.Struct, frozen=True, array_like=True):
     """Address, data centre and status of a daemon; the value of a daemon fact."""
 
-    address: str
-    data_centre: str
+    address: Label
+    data_centre: Label
     status: DaemonStatus
 
 
@@ -233,7 +235,8 @@
 
 
 def _decode(value: bytes) -> DaemonInfo | None:
-    try:
-        return msgspec.msgpack.decode(value, type=DaemonInfo)
-    except msgspec.DecodeError:
-        return None
+    match decode_msgpack(value, DaemonInfo):
+        case Ok(info) if is_host_address(info.address):
+            return info
+        case _:
+            return None
--- a/src/amaranthhollow/decoding.py
+++ b/src/amaranthhollow/decoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from socket import AF_INET, AF_INET6, inet_pton
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -14,6 +15,7 @@
     "Number",
     "decode_json",
     "decode_msgpack",
+    "is_host_address",
 ]
 
 Form = TypeVar("Form")
@@ -22,8 +24,13 @@
 MAX_LABEL_LENGTH = 200
 # The end of the year 9999, in milliseconds since the Unix epoch.
 MAX_MILLISECONDS = 253_402_300_799_999
-# Sums of a few such numbers fit in the 64 bits of a MessagePack integer.
-MAX_NUMBER = (1 << 62) - 1
+# JSON readers with 64-bit floating-point numbers keep these exactly, and the sum over
+# all hosts of a site fits in the 64 bits of a MessagePack integer.
+MAX_NUMBER = (1 << 53) - 1
+# The first byte of the IPv4 address of a host. 0 stands for none, and from 224 on
+# follow groups (RFC 1112) and reserved addresses.
+IPV4_HOST_ADDRESSES = range(1, 224)
+IPV6_GROUP_PREFIX = 0xFF
 # Far above all times and token counts, with room to multiply them.
 MAX_AMOUNT = 1e15
 
@@ -44,6 +51,25 @@
     return _decode(msgspec.msgpack.decode, data, form)
 
 
+def is_host_address(address: str, *, is_ipv4: bool = False) -> bool:
+    """Return whether a text is the IP address of a single host.
+
+    With ``is_ipv4``, only one of version 4.
+    """
+    try:
+        return inet_pton(AF_INET, address)[0] in IPV4_HOST_ADDRESSES
+    except (OSError, ValueError):
+        return not is_ipv4 and _is_ipv6_host_address(address)
+
+
+def _is_ipv6_host_address(address: str) -> bool:
+    try:
+        packed = inet_pton(AF_INET6, address)
+    except (OSError, ValueError):
+        return False
+    return any(packed) and packed[0] != IPV6_GROUP_PREFIX
+
+
 def _decode(decode: object, data: bytes, form: type[Form]) -> Result[Form, str]:
     try:
         return Ok(decode(data, type=form))
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -117,6 +117,8 @@
     async def run(self) -> None:
         """Ping peers until cancelled."""
         while True:
+            if self._transport is None:
+                await self.start()
             self.ping_next()
             await asyncio.sleep(self._pace.ping_interval)
 
@@ -133,6 +135,12 @@
         """Store the transport of the bound socket."""
         self._transport = transport
 
+    def connection_lost(self, error: Exception | None) -> None:
+        """Have the socket bound again, which an unexpected error has closed."""
+        self._transport = None
+        if error is not None:
+            log.error("socket for peers closed", extra={"error": repr(error)})
+
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Process a ping or an echo, and respond to a ping."""
         message = decode_datagram(data)
--- a/src/amaranthhollow/platform/documents.py
+++ b/src/amaranthhollow/platform/documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from socket import AF_INET, inet_pton
 from typing import Annotated
 
 import msgspec
@@ -20,7 +19,12 @@
     SiteWorkspace,
     WeightedService,
 )
-from amaranthhollow.decoding import Label, Milliseconds, decode_json
+from amaranthhollow.decoding import (
+    Label,
+    Milliseconds,
+    decode_json,
+    is_host_address,
+)
 
 __all__ = ["decode_configuration", "decode_endpoint"]
 
@@ -37,9 +41,6 @@
 # Above the number of requests that any endpoint runs at once.
 MAX_SLOTS = 1_000_000
 MAX_PORT = 65_535
-# Of the first byte of an IP address: 0 names no host, and from 224 on addresses are
-# those of groups (RFC 1112) or reserved.
-HOST_ADDRESSES = range(1, 224)
 
 
 class WireShare(msgspec.Struct, frozen=True):
@@ -188,7 +189,7 @@
     endpoint_id: str, wire: WireEndpoint
 ) -> Result[ListedEndpoint, str]:
     address, _, port = wire.address.rpartition(":")
-    if not _is_host_address(address):
+    if not is_host_address(address, is_ipv4=True):
         return Err("`address` has no IP address of a host")
     if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
         return Err("`address` has no port from 1 to 65535")
@@ -215,14 +216,6 @@
     return text.isascii() and text.isprintable() and " " not in text and text != ""
 
 
-def _is_host_address(address: str) -> bool:
-    """Return whether a text is the IPv4 address of a single host."""
-    try:
-        return inet_pton(AF_INET, address)[0] in HOST_ADDRESSES
-    except (OSError, ValueError):
-        return False
-
-
 def _route(wire: WireRoute) -> Route:
     shares = tuple(WeightedService(s.service, s.weight) for s in wire.shares)
     return Route(
--- a/src/amaranthhollow/state/host_registry.py
+++ b/src/amaranthhollow/state/host_registry.py
@@ -4,9 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
+from result import Err, Ok
 
 from amaranthhollow.decisions.membership import DaemonInfo
+from amaranthhollow.decoding import (
+    Label,
+    Milliseconds,
+    Number,
+    decode_msgpack,
+    is_host_address,
+)
 from amaranthhollow.platform.names import SYSTEM_KEY_PREFIX
 
 if TYPE_CHECKING:
@@ -24,9 +31,9 @@
     and skip them.
     """
 
-    incarnation: int = 0
-    build: str = ""
-    protocol: int = 0
+    incarnation: Milliseconds = 0
+    build: Label = ""
+    protocol: Number = 0
 
 
 def decode_hosts(
@@ -36,10 +43,11 @@
     hosts_by_name, errors_by_name = {}, {}
     for item in snapshot.items:
         name = item.key.removeprefix(HOSTS_PREFIX)
-        try:
-            hosts_by_name[name] = msgspec.msgpack.decode(
-                item.value, type=RegisteredHost
-            )
-        except msgspec.DecodeError as error:
-            errors_by_name[name] = str(error)
+        match decode_msgpack(item.value, RegisteredHost):
+            case Ok(host) if is_host_address(host.address):
+                hosts_by_name[name] = host
+            case Ok(_):
+                errors_by_name[name] = "`address` is no IP address of a host"
+            case Err(error):
+                errors_by_name[name] = error
     return hosts_by_name, errors_by_name
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -14,6 +14,7 @@
     Number,
     decode_json,
     decode_msgpack,
+    is_host_address,
 )
 
 
@@ -78,3 +79,28 @@
                 assert msgspec.msgpack.encode(record)
             case Err(reason):
                 assert reason
+
+
+@pytest.mark.parametrize("address", ["10.0.0.1", "127.0.0.1", "::1", "fd00::7"])
+def test_address_of_a_host(address):
+    assert is_host_address(address)
+    assert is_host_address(address, is_ipv4=True) is ("." in address)
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "",
+        "10.0.0",
+        "0.0.0.0",
+        "224.0.0.1",
+        "::",
+        "ff02::1",
+        "host",
+        "\0",
+        "\ud800",
+        "1",
+    ],
+)
+def test_no_address_of_a_host(address):
+    assert not is_host_address(address)
