Read the records of streams again after one read has failed

A read that ended by an exception was kept and raised that exception again: each request that takes a stream up would have been cut, and origins not stored, until the process ended. Which record is the newest was told by the clocks of the hosts that wrote them, so one whose clock was ahead hid what others had seen after it.

--- a/src/amaranthhollow/decisions/stream_origins.py
+++ b/src/amaranthhollow/decisions/stream_origins.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from amaranthhollow.decisions.rendezvous import ranked
+from amaranthhollow.decoding import Amount, Label
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -51,9 +52,9 @@
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """Where a stream began; needed until ``expires_at``, in Unix seconds."""
 
-    service: str
-    software_version: str
-    expires_at: float
+    service: Label
+    software_version: Label
+    expires_at: Amount
 
 
 class StreamRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -64,9 +65,9 @@
     the request that began each.
     """
 
-    written_at: float
-    complete_since: float
-    versions_by_service: dict[str, tuple[str, ...]]
+    written_at: Amount
+    complete_since: Amount
+    versions_by_service: dict[Label, tuple[Label, ...]]
     origins: dict[str, StreamOrigin]
 
 
--- a/src/amaranthhollow/entry/stream_log.py
+++ b/src/amaranthhollow/entry/stream_log.py
@@ -8,13 +8,14 @@
 
 import logbook
 import msgspec
-from result import Err
+from result import Err, Ok
 
 from amaranthhollow.decisions.stream_origins import (
     MIN_STREAM_SECONDS,
     StreamOrigin,
     StreamRecord,
 )
+from amaranthhollow.decoding import decode_msgpack
 from amaranthhollow.platform.names import SYSTEM_KEY_PREFIX
 from amaranthhollow.platform.store import Write
 from amaranthhollow.serving.clock import now
@@ -112,20 +113,19 @@
         """Read all records, unless that was done a moment ago."""
         if now() - self._read_at < READ_INTERVAL_SECONDS:
             return
-        if self._reading is None:
+        if self._reading is None or self._reading.done():
             self._reading = asyncio.create_task(self._read())
         await asyncio.shield(self._reading)
 
     async def _read(self) -> None:
         host = self._host
         listed = await host.store.list(RECORD_PREFIX, CALL_TIMEOUT_SECONDS)
-        self._reading = None
         self._read_at = now()
         if isinstance(listed, Err):
             return
         records = [
             record
-            for item in listed.ok_value.items
+            for item in sorted(listed.ok_value.items, key=lambda item: item.position)
             if (record := _decode_record(item.value)) is not None
         ]
         self._has_read = True
@@ -135,14 +135,16 @@
                 if origin.expires_at > wall_time:
                     self._table.record(request_id, origin)
         if records:
-            self._adopt(max(records, key=lambda record: record.written_at))
+            self._adopt(records[-1])
 
     def _adopt(self, record: StreamRecord) -> None:
-        offset = now() - self._host.wall_time()
+        """Take over what the host that stored the last record had seen by then."""
+        instant = now()
+        offset = instant - self._host.wall_time()
         self._history.adopt(
             record.versions_by_service,
-            record.written_at + offset,
-            record.complete_since + offset,
+            min(record.written_at + offset, instant),
+            min(record.complete_since + offset, instant),
         )
 
     async def _write(self) -> None:
@@ -168,8 +170,9 @@
 
 
 def _decode_record(value: bytes) -> StreamRecord | None:
-    try:
-        return msgspec.msgpack.decode(value, type=StreamRecord)
-    except msgspec.DecodeError as error:
-        log.warning("stored origins unreadable", extra={"error": str(error)})
-        return None
+    match decode_msgpack(value, StreamRecord):
+        case Ok(record):
+            return record
+        case Err(error):
+            log.warning("stored origins unreadable", extra={"error": error})
+            return None
