Fetch a peer's document again after a fetch has failed

A fetch that ended by an exception stayed marked as being on its way, so the host never fetched the configuration or the list of endpoints from a peer again, and relied on its own reads of the store. An era or a revision out of range in a peer's list did that: OverflowError where the list is compared. The mark is now removed however a fetch ends, which is logged, and lists are decoded with the ranges of eras and revisions.

--- a/src/amaranthhollow/decoding.py
+++ b/src/amaranthhollow/decoding.py
@@ -10,6 +10,8 @@
 
 __all__ = [
     "Amount",
+    "Era",
+    "MAX_ERA",
     "Label",
     "Milliseconds",
     "Number",
@@ -31,12 +33,15 @@
 # follow groups (RFC 1112) and reserved addresses.
 IPV4_HOST_ADDRESSES = range(1, 224)
 IPV6_GROUP_PREFIX = 0xFF
+# Fencing tokens leave this many (decisions.store_position).
+MAX_ERA = (1 << 13) - 1
 # Far above all times and token counts, with room to multiply them.
 MAX_AMOUNT = 1e15
 
 Label = Annotated[str, msgspec.Meta(max_length=MAX_LABEL_LENGTH)]
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
 Amount = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
 """A finite number, positive or negative."""
 
--- a/src/amaranthhollow/entry/peer_documents.py
+++ b/src/amaranthhollow/entry/peer_documents.py
@@ -11,9 +11,10 @@
 
 import logbook
 import msgspec
-from result import Err
+from result import Err, Ok
 
 from amaranthhollow.decisions.peer_protocols import PeerProtocol
+from amaranthhollow.decoding import decode_msgpack
 from amaranthhollow.serving.clock import now
 from amaranthhollow.serving.http_client import Call, HttpClient
 from amaranthhollow.state.site_state import EndpointSnapshot
@@ -58,9 +59,17 @@
             return
         self._targets_in_flight.add(target)
         coroutine = self._fetch_from(info.address, target, confirmed_at)
-        task = asyncio.create_task(coroutine)
+        task = asyncio.create_task(coroutine, name=target.decode())
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_fetch)
+
+    def _end_fetch(self, task: asyncio.Task[None]) -> None:
+        """Let the document be fetched again, however its fetch has ended."""
+        self._tasks.discard(task)
+        self._targets_in_flight.discard(task.get_name().encode())
+        if not task.cancelled() and task.exception() is not None:
+            extra = {"document": task.get_name(), "error": repr(task.exception())}
+            log.error("fetch from a peer failed", extra=extra)
 
     async def serve(self, exchange: Exchange) -> None:
         """Respond to a peer's request for a document."""
@@ -95,7 +104,6 @@
             client = HttpClient(address, self._port)
             self._clients_by_address[address] = client
         response = await client.call(Call(b"GET", target), FETCH_TIMEOUT_SECONDS)
-        self._targets_in_flight.discard(target)
         if isinstance(response, Err) or response.ok_value.status != OK:
             return
         body = _decode_document(response.ok_value.body)
@@ -115,12 +123,11 @@
         return self._compressed_configuration[1]
 
     def _apply_endpoints(self, body: bytes, confirmed_at: float) -> None:
-        try:
-            snapshot = msgspec.msgpack.decode(body, type=EndpointSnapshot)
-        except msgspec.DecodeError as error:
-            log.warning("peer's endpoints unreadable", extra={"error": str(error)})
-            return
-        self._host.site.apply_endpoints(snapshot, confirmed_at, now())
+        match decode_msgpack(body, EndpointSnapshot):
+            case Ok(snapshot):
+                self._host.site.apply_endpoints(snapshot, confirmed_at, now())
+            case Err(error):
+                log.warning("peer's endpoints unreadable", extra={"error": error})
 
 
 def _decode_document(data: bytes) -> bytes | None:
--- a/src/amaranthhollow/state/site_state.py
+++ b/src/amaranthhollow/state/site_state.py
@@ -19,6 +19,7 @@
 )
 from amaranthhollow.decisions.freshness import Freshness
 from amaranthhollow.decisions.store_position import StorePosition
+from amaranthhollow.decoding import Era, Number
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,15 +54,15 @@
 
     endpoint_id: str
     value: bytes
-    revision: int
+    revision: Number
 
 
 class EndpointSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """All endpoint entries at one position of the store."""
 
-    revision: int
+    revision: Number
     entries: tuple[StoredEntry, ...]
-    era: int = 0
+    era: Era = 0
 
     @property
     def position(self) -> StorePosition:
