Check an endpoint again after a check has failed

A check of an endpoint that had lost connections kept the losses if it raised an exception. Later losses were added to them and not checked, so the requests that crash this endpoint would never be recognised. The losses are dropped however a check ends, which is logged. By reading; no test brings such an exception about since addresses are checked.

--- a/src/amaranthhollow/entry/crash_detector.py
+++ b/src/amaranthhollow/entry/crash_detector.py
@@ -154,7 +154,13 @@
         self._losses_by_endpoint[endpoint.host] = [loss]
         task = asyncio.create_task(self._check_endpoint(endpoint))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._end_check)
+
+    def _end_check(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            extra = {"error": repr(task.exception())}
+            log.error("check of an endpoint failed", extra=extra)
 
     def apply_facts(self, facts: Iterable[Fact]) -> None:
         """Apply facts that gossip reported as new."""
@@ -222,9 +228,11 @@
     async def _check_endpoint(self, endpoint: Endpoint) -> None:
         """Report lost connections as crashes if no host can open a new one."""
         listed = endpoint.listed
-        await asyncio.sleep(CHECK_DELAY_SECONDS)
-        reachability = await self._dialer.check(listed.address, listed.port)
-        losses = self._losses_by_endpoint.pop(endpoint.host, [])
+        try:
+            await asyncio.sleep(CHECK_DELAY_SECONDS)
+            reachability = await self._dialer.check(listed.address, listed.port)
+        finally:
+            losses = self._losses_by_endpoint.pop(endpoint.host, [])
         if reachability is not Reachability.UNREACHABLE:
             return
         instant = time.time()
