Respond to requests whose handling has failed

Callers whose request met an exception had their connection closed without a response, and with it the requests behind it: 17 to 19 of 60 beside an endpoint entry with a port out of range. They now get 500, which promises nothing about whether the request has run, unless a part of the response was sent; then the connection is broken off, as before.

--- a/src/amaranthhollow/serving/caller_connection.py
+++ b/src/amaranthhollow/serving/caller_connection.py
@@ -27,6 +27,7 @@
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+INTERNAL_SERVER_ERROR = 500
 
 log = logbook.Logger("connection")
 
@@ -224,6 +225,8 @@
             raise
         except Exception:
             log.exception("request handler raised an exception")
+            if not exchange.has_started:
+                exchange.respond(INTERNAL_SERVER_ERROR, [], b"")
         finally:
             self._finish_exchange(exchange)
 
