Judge a part of prompts after any number of crashes

The delay until the next trial doubles with each crash; from about a thousand within the hour that evidence is kept, the power no longer fitted a floating-point number, and every request with the part met an exception. Found by reading for numbers out of range; the test failed before. The delay reaches the retention of evidence after seven doublings.

--- a/src/amaranthhollow/decisions/prompt_quarantine.py
+++ b/src/amaranthhollow/decisions/prompt_quarantine.py
@@ -46,6 +46,8 @@
 VERDICT_DELAY_SECONDS = 0.6
 # Time from the last crash to the next trial; doubled for each crash but the first two.
 MIN_TRIAL_DELAY_SECONDS = 30.0
+# The delay exceeds the retention of evidence by then.
+MAX_DOUBLINGS = 7
 # A trial has shown a crash or a success by then.
 TRIAL_SECONDS = 15.0
 RETENTION_SECONDS = 3600.0
@@ -191,7 +193,7 @@
 
     def _may_try(self, part: str, hosts: Collection[str], now: float) -> bool:
         crashed_at = self._crashes_by_part[part].values()
-        doublings = max(0, _count(crashed_at) - MIN_CRASHES)
+        doublings = min(max(0, _count(crashed_at) - MIN_CRASHES), MAX_DOUBLINGS)
         delay = min(MIN_TRIAL_DELAY_SECONDS * 2**doublings, RETENTION_SECONDS)
         tried_at = self._tried_at_by_part.get(part, float("-inf"))
         return (
--- a/tests/decisions/test_prompt_quarantine.py
+++ b/tests/decisions/test_prompt_quarantine.py
@@ -194,3 +194,14 @@
     before, late = model.record.sound_shares(model.first_deadly_at)
     assert before == 1.0
     assert late >= 0.99
+
+
+# 2 to the power of the crashes exceeds any floating-point number.
+def test_part_of_very_many_crashes_is_judged_without_an_exception():
+    prompts = PromptQuarantine("host-1")
+    for number in range(1500):
+        for fact in prompts.crash_facts(["p"], f"e1@{number}", 0.2 * number):
+            prompts.apply(fact, 0.2 * number)
+
+    assert prompts.is_quarantined(["p"], ["host-1"], 400.0)
+    assert not prompts.is_quarantined(["p"], ["host-1"], 4000.0)
