Read the store's responses and configurations without an exception

A configuration nested deeply ended the read with an exception, and one whose version had hundreds of digits was accepted and outranked every later one. An era of thousands of digits, or a response of the store with a number out of range, ended the task that had called the store.

Both are decoded with the ranges of their values, and the reason for a rejection names the key. Bodies of responses to this host's own calls are bounded.

--- a/src/amaranthhollow/platform/documents.py
+++ b/src/amaranthhollow/platform/documents.py
@@ -22,6 +22,7 @@
 from amaranthhollow.decoding import (
     Label,
     Milliseconds,
+    Number,
     decode_json,
     is_host_address,
 )
@@ -41,13 +42,20 @@
 # Above the number of requests that any endpoint runs at once.
 MAX_SLOTS = 1_000_000
 MAX_PORT = 65_535
+# Of a duration in milliseconds, a rate or a price; far above all that are in use, and
+# far below what timers and sums can hold.
+MAX_SIZE = 1e12
+MAX_RANK = 1_000_000
+
+Size = Annotated[float, msgspec.Meta(ge=0, le=MAX_SIZE)]
+Rank = Annotated[int, msgspec.Meta(ge=-MAX_RANK, le=MAX_RANK)]
 
 
 class WireShare(msgspec.Struct, frozen=True):
     """A service that receives a weighted share of a route's requests."""
 
     service: str = msgspec.field(name="backend")
-    weight: float
+    weight: Size
 
 
 class WireRoute(msgspec.Struct, frozen=True):
@@ -57,23 +65,23 @@
     hostname: str
     prefix: str
     kind: str = msgspec.field(name="route_type")
-    timeout_ms: float
-    target_latency_ms: float = 0
-    priority: int = 0
+    timeout_ms: Size
+    target_latency_ms: Size = 0
+    priority: Rank = 0
     service: str = msgspec.field(name="backend", default="")
     shares: list[WireShare] = msgspec.field(
         name="weighted_backends", default_factory=list
     )
-    max_attempts: int = 1
+    max_attempts: Rank = 1
     is_public: bool = msgspec.field(name="public", default=False)
     may_resume: bool = msgspec.field(name="stream_resume", default=False)
-    max_gap_ms: float | None = msgspec.field(name="gap_aim_ms", default=None)
+    max_gap_ms: Size | None = msgspec.field(name="gap_aim_ms", default=None)
 
 
 class WireEngine(msgspec.Struct, frozen=True):
     """The engines of a service in the operator's configuration."""
 
-    cache_tokens: int = msgspec.field(name="kv_tokens", default=0)
+    cache_tokens: Number = msgspec.field(name="kv_tokens", default=0)
     # Engines can copy cached tokens from each other, both of requests that move and
     # of prompts.
     shares_cache: bool = msgspec.field(name="moves", default=False)
@@ -82,12 +90,12 @@
 class WireScaling(msgspec.Struct, frozen=True):
     """How many engines a service may have in each data centre, and their prices."""
 
-    min_engines: int = msgspec.field(name="min_replicas", default=0)
-    max_engines: int = msgspec.field(name="max_replicas", default=0)
-    start_seconds: float = msgspec.field(name="boot_s", default=0)
+    min_engines: Rank = msgspec.field(name="min_replicas", default=0)
+    max_engines: Rank = msgspec.field(name="max_replicas", default=0)
+    start_seconds: Size = msgspec.field(name="boot_s", default=0)
     # A factor on the price in the data centre, not a price.
-    reclaimable_price: float = msgspec.field(name="spot_price", default=1)
-    price_by_data_centre: dict[str, float] = msgspec.field(
+    reclaimable_price: Size = msgspec.field(name="spot_price", default=1)
+    price_by_data_centre: dict[str, Size] = msgspec.field(
         name="zone_prices", default_factory=dict
     )
 
@@ -96,7 +104,7 @@
     """A service in the operator's configuration."""
 
     name: str
-    max_connections: int = 0
+    max_connections: Number = 0
     engine: WireEngine | None = None
     scaling: WireScaling | None = msgspec.field(name="autoscale", default=None)
 
@@ -106,26 +114,26 @@
 
     name: str
     keys: list[str] = msgspec.field(name="api_keys", default_factory=list)
-    priority: int | None = None
+    priority: Rank | None = None
     unit: str = ""
-    plain_tokens: int = 0
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: Number = 0
+    rate_per_s: Size = 0
+    burst: Size = 0
 
 
 class WireLimits(msgspec.Struct, frozen=True):
     """Limits on callers' requests and connections."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Number = 16_384
+    max_body_bytes: Number = 4_194_304
+    header_timeout_ms: Size = 3_000
+    idle_timeout_ms: Size = 15_000
 
 
 class WireConfiguration(msgspec.Struct, frozen=True):
     """The operator's configuration."""
 
-    version: int
+    version: Number
     routes: list[WireRoute] = msgspec.field(default_factory=list)
     services: list[WireService] = msgspec.field(default_factory=list)
     workspaces: list[WireWorkspace] = msgspec.field(
@@ -152,24 +160,28 @@
 
 def decode_configuration(value: bytes) -> Result[SiteConfiguration, str]:
     """Return the configuration, or the reason why it cannot be decoded."""
-    try:
-        wire = msgspec.json.decode(value, type=WireConfiguration)
-        return Ok(
-            SiteConfiguration(
-                version=wire.version,
-                routes=tuple(map(_route, wire.routes)),
-                services_by_name={s.name: _service(s) for s in wire.services},
-                workspaces_by_name={w.name: _workspace(w) for w in wire.workspaces},
-                limits=RequestLimits(
-                    wire.limits.max_header_bytes,
-                    wire.limits.max_body_bytes,
-                    wire.limits.header_timeout_ms / 1000,
-                    wire.limits.idle_timeout_ms / 1000,
-                ),
-            )
+    return decode_json(value, WireConfiguration).and_then(_configuration)
+
+
+def _configuration(wire: WireConfiguration) -> Result[SiteConfiguration, str]:
+    for route in wire.routes:
+        if route.kind not in KINDS_BY_NAME:
+            kinds = ", ".join(KINDS_BY_NAME)
+            return Err(f"`route_type` of route {route.name!r:.200} is none of {kinds}")
+    return Ok(
+        SiteConfiguration(
+            version=wire.version,
+            routes=tuple(map(_route, wire.routes)),
+            services_by_name={s.name: _service(s) for s in wire.services},
+            workspaces_by_name={w.name: _workspace(w) for w in wire.workspaces},
+            limits=RequestLimits(
+                wire.limits.max_header_bytes,
+                wire.limits.max_body_bytes,
+                wire.limits.header_timeout_ms / 1000,
+                wire.limits.idle_timeout_ms / 1000,
+            ),
         )
-    except (msgspec.DecodeError, KeyError) as error:
-        return Err(f"{type(error).__name__}: {error}")
+    )
 
 
 def decode_endpoint(endpoint_id: str, value: bytes) -> Result[ListedEndpoint, str]:
--- a/src/amaranthhollow/platform/store.py
+++ b/src/amaranthhollow/platform/store.py
@@ -254,6 +254,8 @@
         response = result.ok_value
         status, era = response.status, decode_era(response.headers)
         self._on_call(kind, status in accepted_statuses)
+        if era is None:
+            return Err(CallError(CallFailure.UNCERTAIN, "era unreadable"))
         self.observe_era(era)
         if status in (SERVICE_UNAVAILABLE, TOO_MANY_REQUESTS):
             return Err(CallError(CallFailure.NOTHING_CHANGED, f"status {status}"))
--- a/src/amaranthhollow/platform/store_documents.py
+++ b/src/amaranthhollow/platform/store_documents.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from amaranthhollow.decisions.store_position import StorePosition
+from amaranthhollow.decoding import MAX_ERA, Amount, Number, decode_json
 from amaranthhollow.platform.names import STORE_ERA
 from amaranthhollow.serving.http_client import CallError, CallFailure
 from amaranthhollow.serving.messages import find_header
@@ -36,6 +37,8 @@
     "decode_items",
 ]
 
+MAX_ERA_DIGITS = len(str(MAX_ERA))
+
 Wire = TypeVar("Wire", bound=msgspec.Struct)
 
 
@@ -94,10 +97,10 @@
     """An item in a response of the store."""
 
     key: str
-    revision: int
+    revision: Number
     value: str = ""
     # The revision at which the item was created.
-    create_rev: int = 0
+    create_rev: Number = 0
     # Only in the response to a watch.
     deleted: bool = False
 
@@ -105,14 +108,14 @@
 class WireItemAtRevision(WireItem, frozen=True):
     """The response to a read of one item; ``as_of`` is the store's revision."""
 
-    as_of: int = 0
+    as_of: Number = 0
 
 
 class WirePage(msgspec.Struct, frozen=True):
     """A page of items in the response to a list."""
 
     items: list[WireItem]
-    as_of: int
+    as_of: Number
     has_more: bool = False
 
 
@@ -120,34 +123,40 @@
     """The response to a watch."""
 
     events: list[WireItem]
-    as_of: int
+    as_of: Number
 
 
 class WireRevision(msgspec.Struct, frozen=True):
     """The response to a change."""
 
-    revision: int
+    revision: Number
 
 
 class WireLease(msgspec.Struct, frozen=True):
     """The response to the grant or renewal of a lease."""
 
-    ttl_ms: float
-    lease: int = 0
+    ttl_ms: Amount
+    lease: Number = 0
+
 
+def decode_era(headers: tuple[Header, ...]) -> int | None:
+    """Return the era of the store that sent ``headers``, or None if it is unreadable.
 
-def decode_era(headers: tuple[Header, ...]) -> int:
-    """Return the era of the store that sent ``headers``; 0 if it states none."""
+    A store that states none is in era 0.
+    """
     value = find_header(headers, STORE_ERA)
-    return int(value) if value is not None and value.isdigit() else 0
+    if value is None:
+        return 0
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS or int(value) > MAX_ERA:
+        return None
+    return int(value)
 
 
 def decode_body(body: bytes, model: type[Wire]) -> Result[Wire, CallError]:
     """Decode the body of a response."""
-    try:
-        return Ok(msgspec.json.decode(body, type=model))
-    except msgspec.DecodeError as error:
-        return Err(CallError(CallFailure.UNCERTAIN, str(error)))
+    return decode_json(body, model).map_err(
+        lambda error: CallError(CallFailure.UNCERTAIN, error)
+    )
 
 
 def decode_item(wire: WireItem, era: int) -> Result[StoredItem, CallError]:
--- a/src/amaranthhollow/serving/http_client.py
+++ b/src/amaranthhollow/serving/http_client.py
@@ -31,6 +31,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 MAX_IDLE_CONNECTIONS = 2
+# Several times the largest value of the store, or page of its values.
+MAX_BODY_BYTES = 8 << 20
 
 
 class CallFailure(Enum):
@@ -146,6 +148,10 @@
                 status, headers = head.status, head.headers
             case BodyPart(data):
                 body += data
+                if len(body) > MAX_BODY_BYTES:
+                    connection.abort()
+                    detail = "response body exceeds the size limit"
+                    return Err(CallError(CallFailure.UNCERTAIN, detail))
             case ResponseEnd():
                 return Ok(CallResponse(status, bytes(body), headers))
             case ConnectionLost() as loss:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -178,6 +178,35 @@
     assert isinstance(decode_endpoint(endpoint_id, value), Err)
 
 
+# A version out of range outranked every later configuration.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 10**300},
+        {"version": -1},
+        {"version": 1.5},
+        {"routes": [{**CONFIGURATION["routes"][0], "route_type": "sometimes"}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "timeout_ms": -1}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "timeout_ms": 1e300}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "priority": 10**400}]},
+        {"limits": {"idle_timeout_ms": 1e300}},
+        {"tenants": [{"name": "w", "rate_per_s": 10**400}]},
+    ],
+    ids=lambda change: str(change)[:20],
+)
+def test_decode_configuration_rejects_what_cannot_be_used(change):
+    value = json.dumps({**CONFIGURATION, **change}).encode()
+
+    assert isinstance(decode_configuration(value), Err)
+
+
+def test_decode_configuration_rejects_a_nested_document():
+    nested = b"[" * 100_000 + b"]" * 100_000
+    value = json.dumps(CONFIGURATION).encode()[:-1] + b', "other": ' + nested + b"}"
+
+    assert isinstance(decode_configuration(value), Err)
+
+
 JSON_VALUES = st.recursive(
     st.none()
     | st.booleans()
