Share the quotas with the hosts that were there before the loss of all

Each host counted itself as the only one until it had heard of the others, and spent the whole of the levels that it had restored from the store.

The number of hosts is now stored with the levels. A host that starts shares the quotas among at least that many for as long as it would remember hosts that are gone. Unreachable ones are assumed to spend their share, as ever. The model of quotas knew all hosts from the start, and so had no such fault; hosts in it learn of each other now, and callers that waited send at once: it failed with one expected host and passes with the stored number.

--- a/src/amaranthhollow/decisions/usage_ledger.py
+++ b/src/amaranthhollow/decisions/usage_ledger.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from amaranthhollow.decisions.usage import CountsByWindow
+from amaranthhollow.decoding import Amount, Label, Number
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,13 +34,14 @@
     ``reports`` are the exact bytes sent by window, or ``NOT_TO_BE_SENT``; ``counts``
     the requests that each process started, by process, window and workspace.
     ``quota_levels`` are the levels of the workspaces' quotas at the wall time
-    ``levels_at``, in seconds since the Unix epoch.
+    ``levels_at``, in seconds since the Unix epoch, when ``hosts`` shared the quotas.
     """
 
-    reports: dict[int, bytes]
+    reports: dict[Number, bytes]
     counts: dict[str, CountsByWindow]
-    quota_levels: dict[str, float] = {}
-    levels_at: float = 0.0
+    quota_levels: dict[Label, Amount] = {}
+    levels_at: Amount = 0.0
+    hosts: Number = 0
 
     def has_same_usage(self, other: UsageLedger) -> bool:
         """Return whether both have the same reports and counts."""
--- a/src/amaranthhollow/entry/host.py
+++ b/src/amaranthhollow/entry/host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import logbook
@@ -39,13 +39,13 @@
 class Host:
     """The shared state of the daemon on one entry host.
 
-    ``sharing_hosts`` are the hosts among which the limits of endpoints are divided,
-    including this one; empty until all of them can know of it. ``reachable_hosts`` are
-    the other hosts with recent reports, by name. What one host knows reaches the others
-    within ``spread_seconds``. ``can_relay_by_peer``
-    is whether peers report that they relay connections to endpoints, and
-    ``can_read_by_peer`` whether the store responds to them, as to this one if it
-    ``can_read``.
+    ``expected_hosts`` shared the quotas before this one started; it has yet to hear of
+    them. ``sharing_hosts`` are the hosts among which the limits of endpoints are
+    divided, including this one; empty until all of them can know of it.
+    ``reachable_hosts`` are the other hosts with recent reports, by name. What one host
+    knows reaches the others within ``spread_seconds``. ``can_relay_by_peer`` is whether
+    peers report that they relay connections to endpoints, and ``can_read_by_peer``
+    whether the store responds to them, as to this one if it ``can_read``.
     """
 
     settings: EntrySettings
@@ -66,6 +66,7 @@
     prompt_times_by_service: dict[str, PromptTimes] = field(default_factory=dict)
     usage_by_process: dict[str, dict[int, dict[str, int]]] = field(default_factory=dict)
     host_counts: HostCounts = field(default_factory=HostCounts)
+    expected_hosts: int = 0
     protocols: PeerProtocols = field(default_factory=PeerProtocols)
     can_relay_by_peer: dict[str, bool] = field(default_factory=dict)
     can_read_by_peer: dict[str, bool] = field(default_factory=dict)
@@ -103,6 +104,12 @@
             },
         )
 
+    def expect_hosts(self, count: int) -> None:
+        """Share the quotas among that many hosts until they have been heard of."""
+        self.expected_hosts = count
+        total = max(self.host_counts.total, count)
+        self.host_counts = replace(self.host_counts, total=total)
+
     @property
     def process_id(self) -> str:
         """The host's name and incarnation, which identify this run of the daemon."""
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -251,7 +251,10 @@
             )
             host.reachable_hosts = reachable
         max_age = max(MIN_COUNTS_AGE_SECONDS, self._pace.max_age_seconds)
-        host.host_counts = HostCounts(1 + len(known), 1 + len(reachable), max_age)
+        if instant >= self._started_at + KNOWN_HOST_RETENTION_SECONDS:
+            host.expected_hosts = 0
+        total = max(1 + len(known), host.expected_hosts)
+        host.host_counts = HostCounts(total, 1 + len(reachable), max_age)
         if instant >= self._started_at + SHARING_DELAY_SECONDS:
             host.sharing_hosts = tuple(sorted({*known, host.name}))
         self._forget_ended(instant)
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -102,7 +102,11 @@
         host.quotas.adopt_levels(
             ledger.quota_levels, now() - refill_seconds, is_current=False
         )
-        log.info("quota levels restored", extra={"age": round(age, 2)})
+        host.expect_hosts(ledger.hosts)
+        log.info(
+            "quota levels restored",
+            extra={"age": round(age, 2), "hosts": ledger.hosts},
+        )
 
     def _may_call(self) -> bool:
         return self._host.duty.may_call(now(), CALL_TIMEOUT_SECONDS)
@@ -228,7 +232,9 @@
         for process in self._host.usage_by_process.keys() - counts.keys():
             del self._host.usage_by_process[process]
         levels = self._host.quotas.levels(now()) or {}
-        ledger = UsageLedger(reports, counts, levels, self._host.wall_time())
+        host = self._host
+        hosts = host.host_counts.total
+        ledger = UsageLedger(reports, counts, levels, host.wall_time(), hosts)
         if ledger.has_same_usage(self._ledger) and self._position is not None:
             return True
         holder_position = StorePosition.from_fencing_token(self._fencing_token)
--- a/tests/compatibility/test_recorded_messages.py
+++ b/tests/compatibility/test_recorded_messages.py
@@ -114,7 +114,7 @@
     ),
     EndpointSnapshot: ("revision", "entries", "era"),
     StreamRecord: ("written_at", "complete_since", "versions_by_service", "origins"),
-    UsageLedger: ("reports", "counts", "quota_levels", "levels_at"),
+    UsageLedger: ("reports", "counts", "quota_levels", "levels_at", "hosts"),
 }
 
 
--- a/tests/decisions/test_budgets.py
+++ b/tests/decisions/test_budgets.py
@@ -20,6 +20,7 @@
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS = 0.2, 56.0, 10.0
 EXCHANGE_SECONDS = 0.25
 REACHABLE_SECONDS = 1.0
+EXPECTED_SECONDS = 15.0
 STORE_SECONDS = 1.0
 COST = 2_000.0
 
@@ -27,8 +28,9 @@
 class QuotaMachine(RuleBasedStateMachine):
     """Hosts that admit requests and exchange their cumulative counts.
 
-    A host that restarts takes over the levels that one host stores each second, and
-    then those of a host that it reaches.
+    A host that restarts takes over the levels and the number of hosts that one host
+    stores each second, and then the levels of a host that it reaches. For some time
+    it knows of no more hosts than were stored, or than it has heard of since.
     """
 
     def __init__(self):
@@ -43,6 +45,8 @@
         self.exchanged_at = {(a, b): 0.0 for a in HOSTS for b in HOSTS if a != b}
         self.admitted = []
         self.started_at = {}
+        self.known_by_host = {host: set(HOSTS) for host in HOSTS}
+        self.expected_hosts = {}
         self.stored_levels = None
         for host in HOSTS:
             self.start(host, is_first=True)
@@ -57,8 +61,10 @@
             draw=Random(self.start_count).random,
         )
         self.started_at[host] = self.now
+        if not is_first:
+            self.known_by_host[host] = {host}
         if not is_first and self.stored_levels is not None:
-            levels, stored_at = self.stored_levels
+            levels, stored_at, self.expected_hosts[host] = self.stored_levels
             refill_seconds = min(max(0.0, self.now - stored_at - STORE_SECONDS), 3.0)
             self.limiters[host].adopt_levels(
                 levels, self.now - refill_seconds, is_current=False
@@ -67,9 +73,13 @@
     def counts(self, host):
         exchanged = [self.exchanged_at[host, o] for o in HOSTS if o != host]
         reachable = sum(self.now - at < REACHABLE_SECONDS for at in exchanged)
-        return HostCounts(len(HOSTS), 1 + reachable)
+        known = len(HOSTS)
+        if self.now < self.started_at[host] + EXPECTED_SECONDS:
+            expected = self.expected_hosts.get(host, len(HOSTS))
+            known = max(len(self.known_by_host[host]), expected)
+        return HostCounts(known, min(known, 1 + reachable))
 
-    @rule(rounds=st.integers(1, 40), factor=st.sampled_from([0.0, 1.0, 3.0]))
+    @rule(rounds=st.integers(1, 40), factor=st.sampled_from([0.0, 1.0, 3.0, 8.0]))
     def callers_send_requests(self, rounds, factor):
         """All hosts together get ``factor`` times the rate, then exchange counts."""
         for _ in range(rounds):
@@ -87,11 +97,16 @@
     def a_host_restarts(self, host):
         self.start(host, is_first=False)
 
-    @rule(down_seconds=st.floats(0.0, 3.0))
-    def all_hosts_restart(self, down_seconds):
+    @rule(down_seconds=st.floats(0.0, 3.0), requests=st.integers(0, 200))
+    def all_hosts_restart(self, down_seconds, requests):
+        """Callers that waited for the hosts send their requests at once."""
         self.now += down_seconds
         for host in HOSTS:
             self.start(host, is_first=False)
+            for other in HOSTS:
+                self.exchanged_at[host, other] = float("-inf")
+        for host in HOSTS:
+            self.send_requests(host, requests)
 
     @rule(group=st.sets(st.sampled_from(HOSTS)))
     def hosts_are_split(self, group):
@@ -116,6 +131,7 @@
         for host, other in self.exchanged_at:
             if self.partition_by_host[host] == self.partition_by_host[other]:
                 self.exchanged_at[host, other] = self.now
+                self.known_by_host[host].add(other)
                 spent = self.limiters[other].spent()
                 is_recent = self.started_at[other] > self.started_at[host] - 5.0
                 process = self.process_by_host[other]
@@ -133,7 +149,7 @@
             or self.now >= self.stored_levels[1] + STORE_SECONDS
         )
         if levels is not None and is_due:
-            self.stored_levels = (levels, self.now)
+            self.stored_levels = (levels, self.now, self.counts(holder).total)
 
     def learn_levels(self, host):
         limiter = self.limiters[host]
