Report no window of usage whose report is no longer stored

The ledger keeps the reports of eight windows. The report of an earlier one was dropped as it was stored, and sent all the same.

Windows before those of a full ledger are no longer reported: they were, or are overdue.

--- a/src/amaranthhollow/decisions/usage_ledger.py
+++ b/src/amaranthhollow/decisions/usage_ledger.py
@@ -19,11 +19,14 @@
 
 __all__ = [
     "EMPTY_LEDGER",
+    "MAX_STORED_REPORTS",
     "NOT_TO_BE_SENT",
     "UsageLedger",
     "restored_ledger",
 ]
 
+# Reports of the latest windows; those of earlier ones are dropped.
+MAX_STORED_REPORTS = 8
 # In place of a report that may have been sent with content that no host knows.
 NOT_TO_BE_SENT = b""
 
@@ -43,6 +46,15 @@
     levels_at: Amount = 0.0
     hosts: Number = 0
 
+    @property
+    def reportable_since(self) -> int:
+        """The first window that was certainly not reported unless its report is here.
+
+        Windows that are numbered by a clock that is behind may be earlier.
+        """
+        is_full = len(self.reports) >= MAX_STORED_REPORTS
+        return min(self.reports) if is_full else 0
+
     def has_same_usage(self, other: UsageLedger) -> bool:
         """Return whether both have the same reports and counts."""
         return self.reports == other.reports and self.counts == other.counts
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -13,6 +13,7 @@
 from amaranthhollow.decisions.usage import RETAINED_WINDOWS, CountsByWindow, sum_counts
 from amaranthhollow.decisions.usage_ledger import (
     EMPTY_LEDGER,
+    MAX_STORED_REPORTS,
     NOT_TO_BE_SENT,
     UsageLedger,
     restored_ledger,
@@ -35,7 +36,6 @@
 # which allows for a lost datagram and for requests that are counted late.
 WINDOW_CLOSE_MARGIN_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 0.8
-MAX_STORED_REPORTS = 8
 # If all hosts fail at once, counts since the last save are lost.
 SAVE_INTERVAL_SECONDS = 1.0
 # Quota levels older than this and a save interval may lack what was spent without a
@@ -117,7 +117,9 @@
         wall = self._host.wall_time()
         last_closed_window = self._last_closed_window(wall)
         last_overdue_window = usage.window_at(wall - bounds.usage_due) - 1
-        first = max(last_overdue_window, self._first_window)
+        first = max(
+            last_overdue_window, self._first_window, self._ledger.reportable_since
+        )
         return [
             w
             for w in range(first, last_closed_window + 1)
--- a/tests/decisions/test_usage_ledger.py
+++ b/tests/decisions/test_usage_ledger.py
@@ -4,12 +4,21 @@
 
 from amaranthhollow.decisions.usage_ledger import (
     EMPTY_LEDGER,
+    MAX_STORED_REPORTS,
     NOT_TO_BE_SENT,
     UsageLedger,
     restored_ledger,
 )
 
 
+# After a step of the clocks, windows were reported again whose report was dropped.
+def test_windows_before_a_full_ledger_are_not_reported_again():
+    reports = {window: b"sent" for window in range(20, 20 + MAX_STORED_REPORTS)}
+
+    assert UsageLedger(reports, {}).reportable_since == 20
+    assert UsageLedger({20: b"sent"}, {}).reportable_since == 0
+
+
 def test_known_reports_are_kept_and_unknown_windows_marked():
     ledger = restored_ledger([UsageLedger({5: b"five"}, {})], range(4, 7))
 
