Take a ledger of usage that cannot be read for one that is not known

Windows that were closed by then are now left out unless this host knows their report, as after a restore of the store. Found by looking for other records that all hosts read; who would write such a ledger is open, as nobody else writes below that key.

--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -7,7 +7,7 @@
 
 import logbook
 import msgspec
-from result import Err
+from result import Err, Ok
 
 from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.decisions.usage import RETAINED_WINDOWS, CountsByWindow, sum_counts
@@ -18,6 +18,7 @@
     UsageLedger,
     restored_ledger,
 )
+from amaranthhollow.decoding import decode_msgpack
 from amaranthhollow.entry.duty_lease import era_key, holder_key
 from amaranthhollow.platform.cloud import DutyHolder, encode_usage_report
 from amaranthhollow.platform.names import SYSTEM_KEY_PREFIX
@@ -96,7 +97,7 @@
         found = await host.store.get(era_key(USAGE_KEY, era), CALL_TIMEOUT_SECONDS)
         if isinstance(found, Err) or found.ok_value is None:
             return
-        ledger = _decode_ledger(found.ok_value.value)
+        ledger = _decode_ledger(found.ok_value.value) or EMPTY_LEDGER
         age = host.wall_time() - ledger.levels_at
         refill_seconds = min(max(0.0, age - SAVE_INTERVAL_SECONDS), MAX_REFILL_SECONDS)
         host.quotas.adopt_levels(
@@ -142,7 +143,11 @@
             return
         if found.ok_value is not None:
             self._position = found.ok_value.position
-            self._ledger = _decode_ledger(found.ok_value.value)
+            ledger = _decode_ledger(found.ok_value.value)
+            if ledger is None:
+                closed = self._windows_closed_by(now())
+                ledger = restored_ledger((self._ledger,), closed)
+            self._ledger = ledger
         elif era == 0:
             self._ledger, self._position = EMPTY_LEDGER, None
         else:
@@ -163,8 +168,9 @@
         """
         token_at_restore = self._host.duty.token_at_restore
         is_complete = token_at_restore and token_at_restore == self._fencing_token
-        unknown = () if is_complete else self._windows_closed_at_restore()
-        stored = map(_decode_ledger, values)
+        restored_at = self._host.store_restored_at or now()
+        unknown = () if is_complete else self._windows_closed_by(restored_at)
+        stored = filter(None, map(_decode_ledger, values))
         ledger = restored_ledger((*stored, self._ledger), unknown)
         not_sent = sorted(w for w, r in ledger.reports.items() if r == NOT_TO_BE_SENT)
         log.info(
@@ -173,11 +179,10 @@
         )
         return ledger
 
-    def _windows_closed_at_restore(self) -> range:
-        """Return the windows that another host may have reported before a restore."""
-        host = self._host
-        restored_at = host.store_restored_at or now()
-        last = self._last_closed_window(host.wall_time() - (now() - restored_at))
+    def _windows_closed_by(self, instant: float) -> range:
+        """Return the windows that another host may have reported by then."""
+        wall_time = self._host.wall_time() - (now() - instant)
+        last = self._last_closed_window(wall_time)
         return range(last - RETAINED_WINDOWS, last + 1)
 
     def _merge_stored_counts(self, counts: dict[str, CountsByWindow]) -> None:
@@ -255,9 +260,10 @@
         return True
 
 
-def _decode_ledger(value: bytes) -> UsageLedger:
-    try:
-        return msgspec.msgpack.decode(value, type=UsageLedger)
-    except msgspec.DecodeError as error:
-        log.error("stored usage unreadable", extra={"error": str(error)})
-        return EMPTY_LEDGER
+def _decode_ledger(value: bytes) -> UsageLedger | None:
+    match decode_msgpack(value, UsageLedger):
+        case Ok(ledger):
+            return ledger
+        case Err(error):
+            log.error("stored usage unreadable", extra={"error": error})
+            return None
