Be ready only with a list of endpoints

Hosts that had not got the list of endpoints since their start said that they were ready and answered 503 to every request, also while other hosts served (timeline of the incident: ready at once, no endpoint). A host now says so once it has read a list, or got one from a peer, though an empty one. While all of them lack it, the balancer uses all hosts, as it does while none has a configuration.

--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -238,13 +238,18 @@
         is_ready = (
             not self.host.is_draining
             and site.configuration is not None
+            and site.has_endpoint_list
             and age < self._max_key_age_seconds
         )
         if is_ready is not self._was_ready:
             self._was_ready = is_ready
             log.info(
                 "ready" if is_ready else "not ready",
-                extra={"version": site.version, "version_age": age},
+                extra={
+                    "version": site.version,
+                    "version_age": age,
+                    "has_endpoint_list": site.has_endpoint_list,
+                },
             )
         return is_ready
 
--- a/src/amaranthhollow/state/site_state.py
+++ b/src/amaranthhollow/state/site_state.py
@@ -119,6 +119,11 @@
         """The version of the configuration in force, or -1."""
         return -1 if self.configuration is None else self.configuration.version
 
+    @property
+    def has_endpoint_list(self) -> bool:
+        """Whether a list of endpoints was read since the start, though an empty one."""
+        return self.endpoints_freshness.confirmed_at is not None
+
     def apply_configuration(self, value: bytes, confirmed_at: float | None) -> bool:
         """Apply a configuration unless it is older; return whether it changed.
 
