--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -70,6 +70,8 @@
 class SoakRun:
     """One run of the soak test: a site, its callers and the injected faults."""
 
+    endpoint_type = SoakEndpoint
+
     def __init__(
         self, site: EntrySite, seed: int, *, plays_restores: bool = False
     ) -> None:
@@ -107,7 +109,8 @@
     async def start(self) -> None:
         self.site.daemon_module = CUT_DAEMON
         for number in ENDPOINT_NUMBERS:
-            endpoint = SoakEndpoint(f"e{number}", random=Random(self.random.random()))
+            random = Random(self.random.random())
+            endpoint = self.endpoint_type(f"e{number}", random=random)
             endpoint.rest_random = Random(self.rest_random.random())
             endpoint.version = VERSIONS_BY_ENDPOINT[number]
             self.site.endpoints[f"e{number}"] = endpoint
@@ -183,6 +186,32 @@
     async def run_planned_work(self) -> None:
         """Do nothing; other soaks replace hosts beside the faults."""
 
+    async def lose_all_hosts(self) -> None:
+        """Kill all hosts at once, and start each in the version that it had."""
+        await self._await_faults(HOST_NUMBERS)
+        lost_at = time.monotonic()
+        processes = [self.site.processes[self.host_name(n)] for n in HOST_NUMBERS]
+        for process in processes:
+            process.kill()
+        for process in processes:
+            await asyncio.to_thread(process.wait)
+        for number in HOST_NUMBERS:
+            self.start_daemon(number)
+        self._end_disturbance(HOST_NUMBERS, lost_at)
+
+    async def _await_faults(self, numbers: tuple[int, ...]) -> None:
+        """Wait until no fault of these hosts is left, and begin no other."""
+        for number in numbers:
+            while number in self.faulty_hosts:
+                await asyncio.sleep(0.02)
+            self.faulty_hosts.add(number)
+
+    def _end_disturbance(self, numbers: tuple[int, ...], since: float) -> None:
+        self.excuse(numbers, since)
+        for number in numbers:
+            self.stops.append((self.address(number), since, time.monotonic()))
+            self.faulty_hosts.discard(number)
+
     async def limit_one_endpoint(self) -> None:
         """Let an endpoint state a limit, until the end of the run."""
         await asyncio.sleep(LIMIT_DELAY_SECONDS)
--- a/tests/soak/test_upgrade_soak.py
+++ b/tests/soak/test_upgrade_soak.py
@@ -100,32 +100,6 @@
         self.start_daemon(number)
         self._end_disturbance((number,), replaced_at)
 
-    async def lose_all_hosts(self) -> None:
-        """Kill all hosts at once, and start each in the version that it had."""
-        await self._await_faults(HOST_NUMBERS)
-        lost_at = time.monotonic()
-        processes = [self.site.processes[self.host_name(n)] for n in HOST_NUMBERS]
-        for process in processes:
-            process.kill()
-        for process in processes:
-            await asyncio.to_thread(process.wait)
-        for number in HOST_NUMBERS:
-            self.start_daemon(number)
-        self._end_disturbance(HOST_NUMBERS, lost_at)
-
-    async def _await_faults(self, numbers: tuple[int, ...]) -> None:
-        """Wait until no fault of these hosts is left, and begin no other."""
-        for number in numbers:
-            while number in self.faulty_hosts:
-                await asyncio.sleep(0.02)
-            self.faulty_hosts.add(number)
-
-    def _end_disturbance(self, numbers: tuple[int, ...], since: float) -> None:
-        self.excuse(numbers, since)
-        for number in numbers:
-            self.stops.append((self.address(number), since, time.monotonic()))
-            self.faulty_hosts.discard(number)
-
 
 @pytest.fixture
 async def site(tmp_path):
