--- a/tests/cli/test_registry_commands.py
+++ b/tests/cli/test_registry_commands.py
@@ -9,10 +9,13 @@
 from click.testing import CliRunner
 
 from amaranthhollow.cli.main import main
-from tests.compatibility.earlier_build import EARLIER_COMMITS, extract_source
+from tests.compatibility.earlier_build import extract_source
 from tests.entry.entry_site import METRICS_PORT, STORE_PORT, EntrySite
 from tests.networks import next_network
 
+# Hosts of this version state no build in their entries.
+WITHOUT_BUILD = "ed1397e"
+
 
 @pytest.fixture
 async def site(tmp_path):
@@ -28,7 +31,7 @@
 
 
 async def test_hosts_of_several_versions_are_listed(site, tmp_path):
-    source = extract_source(EARLIER_COMMITS[-1], tmp_path / "earlier")
+    source = extract_source(WITHOUT_BUILD, tmp_path / "earlier")
     for name, number, version in (("host-1", 21, None), ("host-2", 22, source)):
         await site.wait_ready(site.start_daemon(name, number, source=version))
     async with asyncio.timeout(10.0):
--- a/tests/compatibility/earlier_build.py
+++ b/tests/compatibility/earlier_build.py
@@ -13,7 +13,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 # The landings that hosts of this version work beside.
-EARLIER_COMMITS = ("8569ab7", "7c57ee7", "ed1397e")
+EARLIER_COMMITS = ("8569ab7", "7c57ee7", "ed1397e", "95a4ed3")
 
 
 def extract_source(commit: str, folder: Path) -> Path:
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -33,7 +33,7 @@
     """Return a ping and an echo."""
     head = (1, "host-1", 9, GOSSIP)
     tail = (FRESHNESS, 5.0, {"w": 2.0})
-    if hasattr(datagrams, "HostReport"):
+    if not hasattr(datagrams, "ReportPing") and hasattr(datagrams, "HostReport"):
         report = datagrams.HostReport(USAGE, SPENT, LOADS)
         return datagrams.Ping(*head, report), datagrams.Echo(*head, report, *tail)
     from amaranthhollow.decisions.reports import ReportChanges
