Bound the frames of a relay, and read any status

A peer that announced a frame of 4 GB had the other side collect all that it sent, and the request wait until its deadline; a status that this version does not know ended the connection by an exception in the event loop. A frame over 1 MB, four times what a relay reads at once, ends the connection.

--- a/src/amaranthhollow/peers/relay_protocol.py
+++ b/src/amaranthhollow/peers/relay_protocol.py
@@ -15,6 +15,8 @@
 LENGTH = Struct("!I")
 END_FRAME = LENGTH.pack(0)
 MAX_TARGET_BYTES = 64
+# Four times what a transport reads at once.
+MAX_FRAME_BYTES = 1 << 20
 
 
 class RelayStatus(IntEnum):
@@ -26,19 +28,26 @@
 
 
 class FrameReader:
-    """Splits received bytes into frames."""
+    """Splits received bytes into frames.
+
+    ``is_oversized`` is whether the next frame exceeds the size limit; it is not read.
+    """
 
     def __init__(self) -> None:
         """Start between two frames."""
         self._buffer = bytearray()
+        self.is_oversized = False
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the frames that are complete by now; an empty one is the end."""
+        frames: list[bytes] = []
+        if self.is_oversized:
+            return frames
         self._buffer += data
-        frames = []
         while len(self._buffer) >= LENGTH.size:
             (size,) = LENGTH.unpack_from(self._buffer)
-            if len(self._buffer) < LENGTH.size + size:
+            self.is_oversized = size > MAX_FRAME_BYTES
+            if self.is_oversized or len(self._buffer) < LENGTH.size + size:
                 break
             frames.append(bytes(self._buffer[LENGTH.size : LENGTH.size + size]))
             del self._buffer[: LENGTH.size + size]
--- a/src/amaranthhollow/peers/relayed_connection.py
+++ b/src/amaranthhollow/peers/relayed_connection.py
@@ -37,7 +37,7 @@
 
     def data_received(self, data: bytes) -> None:
         if not self.status.done():
-            status = RelayStatus(data[0])
+            status = _decode_status(data[0])
             if status is RelayStatus.CONNECTED:
                 self.connection.connection_made(self._transport)
             self.status.set_result(status)
@@ -48,6 +48,8 @@
             else:
                 self._has_ended = True
                 self.connection.eof_received()
+        if self._reader.is_oversized:
+            self._transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         if not self.status.done():
@@ -57,6 +59,14 @@
         self.connection.connection_lost(error)
 
 
+def _decode_status(byte: int) -> RelayStatus:
+    """Return a status; one that is not known here counts as a peer without links."""
+    try:
+        return RelayStatus(byte)
+    except ValueError:
+        return RelayStatus.NO_LINKS
+
+
 async def connect_through_peer(
     peer: tuple[str, int],
     endpoint: tuple[str, int],
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -9,7 +9,7 @@
 import pytest
 
 from amaranthhollow.peers.relay_listener import RelayListener
-from amaranthhollow.peers.relay_protocol import RelayStatus
+from amaranthhollow.peers.relay_protocol import FrameReader, RelayStatus
 from amaranthhollow.peers.relayed_connection import connect_through_peer
 from amaranthhollow.peers.relayed_exchange import RelayedExchange
 from amaranthhollow.platform.endpoints import encode_rejection, find_identifier
@@ -322,3 +322,42 @@
     relayed.endpoint.default_script = [data, "close"]
     connection = await relayed.connect()
     assert isinstance((await read_response(connection))[-1], ConnectionLost)
+
+
+@pytest.fixture
+async def odd_relay():
+    """The port of a peer that sends the bytes which a test appends."""
+    data = []
+
+    async def serve(reader, writer):
+        await reader.read(100)
+        for piece in data:
+            writer.write(piece)
+            await asyncio.sleep(0.05)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    yield server.sockets[0].getsockname()[1], data
+    server.close()
+
+
+async def test_unknown_status_of_a_peer_counts_as_no_links(odd_relay, caplog):
+    port, data = odd_relay
+    data.append(b"\x09")
+    endpoint = ("127.0.0.1", 9)
+
+    result = await connect_through_peer(("127.0.0.1", port), endpoint, 1.0)
+    assert result is RelayStatus.NO_LINKS
+    assert not caplog.records
+
+
+# A peer that announced a frame of 4 GB had all of its bytes collected.
+async def test_frame_that_is_too_long_ends_the_connection(odd_relay):
+    port, data = odd_relay
+    data += [b"\x00", b"\xff\xff\xff\xff" + b"x" * 1000, b"x" * 100_000]
+    endpoint = ("127.0.0.1", 9)
+
+    connection = await connect_through_peer(("127.0.0.1", port), endpoint, 1.0)
+    assert isinstance((await read_response(connection))[-1], ConnectionLost)
+    assert len(FrameReader().feed(data[1])) == 0
