--- a/tests/soak/other_writers.py
+++ b/tests/soak/other_writers.py
@@ -110,6 +110,8 @@
 class FaultyEndpoint(SoakEndpoint):
     """Writes refusals once more, and goes on with other events than the next.
 
+    The first stream that is resumed here goes on wrongly, later ones by chance.
+
     Refusals come before the response to a later request of the same connection, with
     the identifier of an earlier one or without any. One without ends the connection, so
     that the host hears nothing of what the response after it states.
@@ -141,7 +143,9 @@
     def _response_script(self, arrival: Arrival) -> list[Step]:
         last = int(arrival.headers.get("last-event-id", 0))
         is_resumed = "last-event-id" in arrival.headers
-        if not is_resumed or self.stray_random.random() >= WRONG_REST_SHARE:
+        is_first = self.wrong_rests == 0
+        draw = self.stray_random.random()
+        if not is_resumed or not (is_first or draw < WRONG_REST_SHARE):
             return super()._response_script(arrival)
         self.wrong_rests += 1
         stream = arrival.request_line.split()[1].rpartition("/")[2]
