Show what hosts refuse after a start, and what bounds their connections

Adds a line for each of the first 30 seconds with refusals by reason, which the limit of lines does not drop with the lines of requests; the lowest level that a host takes over; and metrics of dials, lost links, failed accepts, descriptors, connections and levels. No logic of requests changes. The median is computed without the statistics module, so that the start loads no more modules than before.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -146,6 +146,14 @@
             return None
         return {w: b.level for w, b in self._buckets_by_workspace.items()}
 
+    def level_seconds(self) -> dict[str, float]:
+        """Return what each workspace has left in seconds of its rate, as last known."""
+        return {
+            workspace: bucket.level / bucket.quota.rate_per_second
+            for workspace, bucket in self._buckets_by_workspace.items()
+            if bucket.quota.rate_per_second
+        }
+
     def knows_levels(self, now: float) -> bool:
         """Return whether the levels no longer depend on the assumption at a restart."""
         restarted_at = self._restarted_at
--- a/src/amaranthhollow/decisions/site_clock.py
+++ b/src/amaranthhollow/decisions/site_clock.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from statistics import median
-
 __all__ = ["SiteClock"]
 
 
@@ -26,9 +24,9 @@
 
     def wall_time(self, monotonic_time: float) -> float:
         """Return the time that the hosts agree on."""
-        return monotonic_time + median(
-            [self._local_offset, *self._offsets_by_host.values()]
-        )
+        offsets = sorted([self._local_offset, *self._offsets_by_host.values()])
+        below, above = offsets[(len(offsets) - 1) // 2], offsets[len(offsets) // 2]
+        return monotonic_time + (below + above) / 2
 
     def observe(self, host: str, wall_time: float, monotonic_time: float) -> None:
         """Record a peer's wall clock as read at ``monotonic_time`` of this host."""
--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -96,6 +96,28 @@
         self.refusals = CounterMetric(
             "refusals", "Requests refused before any attempt, by reason.", ["reason"]
         )
+        self.dials = CounterMetric(
+            "dials",
+            "New connections to endpoints, by path and outcome.",
+            ["path", "outcome"],
+        )
+        self.failed_accepts = CounterMetric(
+            "failed_accepts", "Connections that could not be accepted.", ["error"]
+        )
+        self.open_descriptors = GaugeMetric(
+            "open_descriptors", "Descriptors that this process has open."
+        )
+        self.connections = LabelledGaugeMetric(
+            "connections", "Open connections accepted, by kind of client.", "client"
+        )
+        self.quota_levels = LabelledGaugeMetric(
+            "quota_level_seconds",
+            "What a workspace's quota has left, in seconds of its rate.",
+            "workspace",
+        )
+        self.links_lost = GaugeMetric(
+            "links_lost", "1 while this host holds its links to endpoints for lost."
+        )
         self.attempt_failures = CounterMetric(
             "attempt_failures", "Attempts that brought no answer.", ["service"]
         )
--- a/src/amaranthhollow/entry/peering.py
+++ b/src/amaranthhollow/entry/peering.py
@@ -415,7 +415,10 @@
         quotas, instant = self._host.quotas, now()
         if echo.quota_levels is not None and not quotas.knows_levels(instant):
             quotas.adopt_levels(echo.quota_levels, instant)
-            log.info("quota levels adopted", extra={"from": echo.host})
+            lowest = min(echo.quota_levels.values(), default=None)
+            log.info(
+                "quota levels adopted", extra={"from": echo.host, "lowest": lowest}
+            )
 
 
 def _ignore(message: StreamMessage) -> None:
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -7,6 +7,7 @@
 import logbook
 
 from amaranthhollow.decisions.prompts import PromptShape
+from amaranthhollow.entry.refusal_log import RefusalLog
 from amaranthhollow.platform.callers import decode_request
 from amaranthhollow.serving.admission import Admitted, Rejected
 from amaranthhollow.serving.clock import now
@@ -29,6 +30,7 @@
 BAD_REQUEST = 400
 UNAVAILABLE = 503
 SUCCESS = range(200, 300)
+GATEWAY_ERRORS = frozenset({502, 503, 504})
 ANSWERED = "answered"
 # Long, since the request would crash endpoints again until an operator intervenes.
 QUARANTINE_RETRY_SECONDS = 60.0
@@ -117,6 +119,7 @@
         self._admission = admission
         self._forwarder = forwarder
         self.rejects_new_requests = False
+        self.refusal_log = RefusalLog(now())
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request."""
@@ -147,6 +150,7 @@
             headers.append((b"retry-after", seconds.encode()))
         exchange.respond(rejection.status, headers, b"")
         self._host.metrics.refusals.increment(rejection.reason)
+        self.refusal_log.record_refused(rejection.reason, now())
         site = self._host.site
         log.info(
             "refused",
@@ -192,6 +196,7 @@
         if request_log.first_part_at is not None:
             first_part = request_log.first_part_at - request.arrived_at
         self._observe_metrics(exchange, admitted, seconds, first_part)
+        self._count_outcome(exchange, request_log)
         log.info(
             "forwarded",
             extra={
@@ -216,6 +221,16 @@
             },
         )
 
+    def _count_outcome(self, exchange: Exchange, request_log: RequestLog) -> None:
+        if exchange.is_abandoned:
+            return
+        if exchange.is_finished and exchange.status not in GATEWAY_ERRORS:
+            self.refusal_log.record_answered(now())
+            return
+        tried = "endpoints tried" if request_log.endpoints else "no endpoint"
+        status = exchange.status if exchange.is_finished else "cut"
+        self.refusal_log.record_refused(f"{status}, {tried}", now())
+
     def _observe_metrics(
         self,
         exchange: Exchange,
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import signal
 import time
 from random import Random
@@ -73,6 +75,8 @@
 # At the end of the shutdown the platform kills the process and cuts open requests.
 EXIT_MARGIN_SECONDS = 0.4
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
+OUT_OF_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+ACCEPT_WARNING_SECONDS = 1.0
 
 log = logbook.Logger("daemon")
 
@@ -135,10 +139,12 @@
         )
         self._stop_requested = asyncio.Event()
         self._was_ready: bool | None = None
+        self._next_accept_warning_at = 0.0
 
     async def run(self) -> None:
         """Start all components, serve until SIGTERM, and shut down."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._handle_loop_error)
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_settings_change)
         listeners = (
@@ -176,6 +182,30 @@
             listener.stop()
         log.info("stopped", extra={"host": host.name})
 
+    def _handle_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        """Count connections that could not be accepted, and log them now and then.
+
+        The event loop reports each of them, up to a whole backlog at a time.
+        """
+        error = context.get("exception")
+        if not isinstance(error, OSError) or error.errno not in OUT_OF_RESOURCES:
+            loop.default_exception_handler(context)
+            return
+        name = errno.errorcode[error.errno]
+        self.host.metrics.failed_accepts.increment(name)
+        if now() >= self._next_accept_warning_at:
+            self._next_accept_warning_at = now() + ACCEPT_WARNING_SECONDS
+            log.warning(
+                "connections not accepted",
+                extra={
+                    "error": name,
+                    "callers": len(self._callers.connections),
+                    "relayed_peers": len(self._relay.connections),
+                },
+            )
+
     def _log_start(self) -> None:
         host, build = self.host, build_name()
         host.metrics.build_info.values[build] = 1.0
@@ -225,8 +255,19 @@
             metrics.endpoint_entries.values["usable"] = sum(
                 not endpoint.is_reclaimed for endpoint in listed
             )
+            self._update_gauges()
+            self._handler.refusal_log.flush(instant)
             self._update_readiness()
 
+    def _update_gauges(self) -> None:
+        """Update the gauges of what bounds the requests that this host serves."""
+        host, metrics = self.host, self.host.metrics
+        metrics.links_lost.value = float(not host.dialer.has_links)
+        metrics.open_descriptors.value = len(os.listdir("/proc/self/fd"))
+        metrics.connections.values["callers"] = len(self._callers.connections)
+        metrics.connections.values["relayed peers"] = len(self._relay.connections)
+        metrics.quota_levels.values = host.quotas.level_seconds()
+
     def _request_limits(self) -> RequestLimits:
         configuration = self.host.site.configuration
         return RequestLimits() if configuration is None else configuration.limits
@@ -278,7 +319,9 @@
     site = SiteState(SiteDecoders(decode_configuration, decode_endpoint))
     membership = Membership(settings.host, incarnation, info)
     clock = SiteClock(time.time(), now())
-    dialer = EndpointDialer(lambda: host.relays(), settings.peer_ports.relay)
+    dialer = EndpointDialer(
+        lambda: host.relays(), settings.peer_ports.relay, metrics.dials.increment
+    )
     host = Host(
         settings=settings,
         incarnation=incarnation,
--- a/src/amaranthhollow/entry/usage_duty.py
+++ b/src/amaranthhollow/entry/usage_duty.py
@@ -106,7 +106,11 @@
         host.expect_hosts(ledger.hosts)
         log.info(
             "quota levels restored",
-            extra={"age": round(age, 2), "hosts": ledger.hosts},
+            extra={
+                "age": round(age, 2),
+                "hosts": ledger.hosts,
+                "lowest": min(ledger.quota_levels.values(), default=None),
+            },
         )
 
     def _may_call(self) -> bool:
--- a/src/amaranthhollow/peers/endpoint_dialer.py
+++ b/src/amaranthhollow/peers/endpoint_dialer.py
@@ -43,13 +43,20 @@
 class EndpointDialer:
     """Connects one host to endpoints, and keeps the state of its links."""
 
-    def __init__(self, relays: Callable[[], list[str]], relay_port: int) -> None:
+    def __init__(
+        self,
+        relays: Callable[[], list[str]],
+        relay_port: int,
+        count_dial: Callable[[str, str], None],
+    ) -> None:
         """Use the peers that ``relays`` returns, which relay at ``relay_port``.
 
+        ``count_dial`` gets the path and the outcome of each new connection.
         ``notify_links_lost`` is called once it is certain that the links are lost.
         """
         self.notify_links_lost: Callable[[], None] = _ignore
         self._relays = relays
+        self._count_dial = count_dial
         self._relay_port = relay_port
         self._links = EndpointLinks()
         self._were_lost = False
@@ -91,6 +98,7 @@
     async def dial_directly(self, address: str, port: int) -> EndpointConnection | None:
         """Connect to an endpoint over this host's own links, or return None."""
         connection = await connect(address, port, CONNECT_TIMEOUT_SECONDS)
+        self._count_dial("direct", "failed" if connection is None else "connected")
         self.record_direct(f"{address}:{port}", connection is not None)
         return connection
 
@@ -137,12 +145,15 @@
             )
             match result:
                 case EndpointConnection():
+                    self._count_dial("relayed", "connected")
                     self._links.record_relayed(f"{address}:{port}")
                     self._follow_change()
                     return result
                 case RelayStatus.ENDPOINT_FAILED:
+                    self._count_dial("relayed", "failed")
                     return result
                 case RelayStatus.NO_LINKS:
+                    self._count_dial("relayed", "peer without links")
                     self._relay_failed_at[peer] = now()
         return RelayStatus.NO_LINKS
 
