Do not take up the report of an ended process again

Cause: each host drops the report of a process 60 s after it was last heard of, by its own clock. A peer that had not dropped it yet sent it again at once, as it does with any report that a host lacks. What a process has spent since its start is subtracted in full from the quotas when a host first hears of it, if it started at about the same time as the host. So the last minute of spending of each ended process was charged again, by every host, up to once for each round of messages.

A report is now passed on, and taken, only for 30 s after its process last published; all hosts keep it for 60 s. So nobody still sends it when the first host drops it. The first counts of a process are subtracted only if it started within the last 5 s; whoever is heard of later, as after a long cut, sets a baseline.

The test of relays heard of a report after 50 s, which is now too old; it does after 20 s, and reports that are too old have a test of their own. The model of quotas uses the same rule on recent starts.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -233,9 +233,9 @@
 
         ``host`` identifies the host's incarnation. Its first report has the counts of
         all workspaces and only sets the baseline, since they may be old, unless that
-        incarnation ``is_recent``: it started at about the time of this host, or later.
-        Later reports may leave out unchanged counts. The full count of a workspace
-        that is new in them is subtracted.
+        incarnation ``is_recent``: it has just started. Later reports may leave out
+        unchanged counts. The full count of a workspace that is new in them is
+        subtracted.
         """
         is_first = host not in self._spent_by_host
         previous = self._spent_by_host.setdefault(host, {})
--- a/src/amaranthhollow/decisions/reports.py
+++ b/src/amaranthhollow/decisions/reports.py
@@ -5,6 +5,9 @@
 whichever host it came from. So a report reaches all hosts in a time that grows with the
 logarithm of their number, and each host receives each change about once.
 
+The report of a process that has ended is passed on for less time than any host keeps
+it. Otherwise a host that has dropped it would get it back from one that has not.
+
 Example::
 
     changes = peer.changes_for(host.digest(), now)
@@ -29,6 +32,7 @@
     from collections.abc import Iterable, Mapping
 
 __all__ = [
+    "REPORT_RETENTION_SECONDS",
     "ExchangePace",
     "HostReport",
     "ReportChanges",
@@ -45,6 +49,10 @@
 MIN_PUBLISH_INTERVAL_SECONDS = 0.05
 # Bounds what each host receives: one report of each host a second at this many.
 REPORTS_PER_SECOND = 200
+# The usage of a process that ended is needed until its last window is reported.
+REPORT_RETENTION_SECONDS = 60.0
+# Hosts differ by less than the rest of the retention on when a process last published.
+MAX_RELAY_AGE_SECONDS = REPORT_RETENTION_SECONDS / 2
 # Versions that a process publishes in a minute at the shortest interval.
 MAX_VERSION_LEAD = 1_200
 # All changes of a publish interval among 370 hosts take a third of it.
@@ -262,7 +270,7 @@
         free_bytes = MAX_CHANGES_BYTES
         for offset, (key, replica) in enumerate(replicas[start:] + replicas[:start]):
             known_version = digest.get(key, 0)
-            if known_version >= replica.version:
+            if known_version >= replica.version or _has_ended(replica.seen_at, now):
                 continue
             changes = replica.changes_since(known_version, now)
             free_bytes -= _size(changes)
@@ -289,6 +297,8 @@
             is_next = change.since <= replica.version < change.version
             if replica is self._own or not is_same or not is_next:
                 continue
+            if _has_ended(change.seen_at(now), now):
+                continue
             replica.apply(change, now)
             self._replicas_by_key[key] = replica
             applied.append(change)
@@ -306,17 +316,23 @@
         if replica.version > own_version + MAX_VERSION_LEAD:
             del self._replicas_by_key[key]
 
-    def expire(self, seen_before: float) -> list[str]:
-        """Drop processes that have not published since; return their names."""
+    def expire(self, now: float) -> list[str]:
+        """Drop processes that have not published for long; return their names."""
+        retained_since = now - REPORT_RETENTION_SECONDS
         expired = [
             key
             for key, replica in self._replicas_by_key.items()
-            if replica.seen_at < seen_before and replica is not self._own
+            if replica.seen_at < retained_since and replica is not self._own
         ]
         dropped = [self._replicas_by_key.pop(key) for key in expired]
         return [f"{replica.host}@{replica.incarnation}" for replica in dropped]
 
 
+def _has_ended(seen_at: float, now: float) -> bool:
+    """Return whether a process last published so long ago that it must have ended."""
+    return now - seen_at > MAX_RELAY_AGE_SECONDS
+
+
 def _size(changes: ReportChanges) -> int:
     """Return an upper bound of the usual encoded size in bytes."""
     entries = len(changes.spent) + len(changes.loads or ())
--- a/src/amaranthhollow/entry/report_exchange.py
+++ b/src/amaranthhollow/entry/report_exchange.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from amaranthhollow.decisions.reports import (
+    REPORT_RETENTION_SECONDS,
     HostReport,
     ReportChanges,
     ReportTable,
@@ -22,12 +23,10 @@
 
 __all__ = ["ReportExchange"]
 
-# The usage of a process that ended is needed until its last window is reported.
-REPORT_RETENTION_SECONDS = 60.0
 # Earlier windows no longer change, and were sent to the peers many times.
 REPORTED_USAGE_WINDOWS = 2
-# Hosts that restart together start within a few seconds.
-RECENT_START_MS = 5_000
+# Hosts that start together hear of each other within a few seconds.
+RECENT_START_SECONDS = 5.0
 
 
 class ReportExchange:
@@ -108,7 +107,7 @@
         ended = [process for process, at in whole_reports if at <= retained_since]
         for process in ended:
             del self._whole_report_at_by_process[process]
-        for process in [*ended, *self._reports.expire(retained_since)]:
+        for process in [*ended, *self._reports.expire(instant)]:
             self._contacts.forget_process(process)
             host.quotas.forget(process)
             host.usage_by_process.pop(process, None)
@@ -124,7 +123,8 @@
             if changes.loads is not None:
                 host.chooser.observe(name, changes.loads)
         process = changes.process_id
-        is_recent = incarnation > host.incarnation - RECENT_START_MS
+        running_seconds = host.wall_time() - incarnation / 1000
+        is_recent = abs(running_seconds) < RECENT_START_SECONDS
         host.quotas.observe(process, changes.spent, instant, is_recent=is_recent)
         previous = host.usage_by_process.get(process, {})
         host.usage_by_process[process] = merge_counts(previous, changes.usage)
--- a/tests/decisions/test_budgets.py
+++ b/tests/decisions/test_budgets.py
@@ -133,7 +133,7 @@
                 self.exchanged_at[host, other] = self.now
                 self.known_by_host[host].add(other)
                 spent = self.limiters[other].spent()
-                is_recent = self.started_at[other] > self.started_at[host] - 5.0
+                is_recent = self.now - self.started_at[other] < 5.0
                 process = self.process_by_host[other]
                 self.limiters[host].observe(
                     process, spent, self.now, is_recent=is_recent
--- a/tests/decisions/test_reports.py
+++ b/tests/decisions/test_reports.py
@@ -11,6 +11,7 @@
 from amaranthhollow.decisions.peer_protocols import earlier_report_age
 from amaranthhollow.decisions.reports import (
     MAX_CHANGES_BYTES,
+    REPORT_RETENTION_SECONDS,
     HostReport,
     ReportChanges,
     ReportTable,
@@ -130,10 +131,21 @@
     owner, relay, host = ReportTable("a", 1), ReportTable("b", 1), ReportTable("c", 1)
     owner.publish(REPORT, 0.0, 1.0)
     relay.merge(owner.changes_for({}, 0.0), 0.0)
-    host.merge(relay.changes_for({}, 50.0), 50.0)
+    host.merge(relay.changes_for({}, 20.0), 20.0)
 
-    assert host.expire(40.0) == ["a@1"]
-    assert relay.expire(-1.0) == []
+    assert host.expire(REPORT_RETENTION_SECONDS + 0.1) == ["a@1"]
+    assert relay.expire(REPORT_RETENTION_SECONDS - 0.1) == []
+
+
+# A host that had dropped a report took it again from a peer that had not.
+@pytest.mark.parametrize("seconds", [REPORT_RETENTION_SECONDS / 2, 59.9, 60.1])
+def test_report_of_an_ended_process_is_not_passed_on_while_peers_drop_it(seconds):
+    owner, relay, host = ReportTable("a", 1), ReportTable("b", 1), ReportTable("c", 1)
+    owner.publish(REPORT, 0.0, 1.0)
+    relay.merge(owner.changes_for({}, 0.0), 0.0)
+
+    assert relay.changes_for({}, seconds + 0.1) == ()
+    assert not host.merge([changes_of(age_ms=int(1000 * seconds) + 100)], 0.0)
 
 
 def changes_of(version=1, since=0, host="a", incarnation=1, age_ms=0):
