Let no overdraft of a quota last longer than its window

Callers of a workspace were refused by every host for as long as it took to refill whatever one host had charged: up to minutes, and again after the loss of all hosts, which start from the stored levels. Quotas are judged over a window (8 s here); what was spent before the last one no longer counts, so a level below minus one window of the rate means nothing but an error of counting.

Levels are now bounded by that when time passes, whether they come from counts, from the store or from a peer; the last two matter beside hosts of earlier versions, whose levels may be far below. The length of the window comes from the settings (quota_window); without it nothing changes.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -58,11 +58,13 @@
     Hosts enforce the quota with ``excess_ratio``, a fraction of it, since callers lose
     every request that is rejected below it. Operators also accept ``slack`` in each
     window, in the unit of the quota. It is left for what hosts admit before they
-    receive each other's counts.
+    receive each other's counts. Windows last ``window_seconds``; what was spent before
+    the last one no longer counts against a workspace.
     """
 
     excess_ratio: float = 0.0
     slack: float = 0.0
+    window_seconds: float = float("inf")
 
     def enforced_quota(self, quota: Quota) -> Quota:
         """Return the quota that all hosts together enforce."""
@@ -285,6 +287,10 @@
         slack_rate = max_slack / hosts.max_age_seconds
         bucket.slack_level = min(max_slack, bucket.slack_level + slack_rate * elapsed)
         self._record_overdraft(bucket, now)
+        # No overdraft lasts longer than a window, whatever other hosts have reported.
+        bucket.level = max(
+            bucket.level, -quota.rate_per_second * self._tolerance.window_seconds
+        )
         capacity = self._capacity(quota)
         bucket.level = min(capacity, bucket.level + reachable_rate * elapsed)
         self._end_overdraft_if_calm(bucket, now)
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -337,7 +337,7 @@
         random=random,
         duty=DutyState(bounds.lease_ms / 1000, starts_at=now() + DUTY_DELAY_SECONDS),
         quotas=QuotaLimiter(
-            QuotaTolerance(bounds.quota_over, bounds.quota_slack),
+            QuotaTolerance(bounds.quota_over, bounds.quota_slack, bounds.quota_window),
             restarted_at=None if settings.is_first_start else now(),
             draw=random.random,
         ),
--- a/src/amaranthhollow/entry/settings.py
+++ b/src/amaranthhollow/entry/settings.py
@@ -41,6 +41,7 @@
     repeat_window: float
     quota_over: float = 0.0
     quota_slack: float = 0.0
+    quota_window: float = float("inf")
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
