Keep descriptors for the host beside any number of callers

Cause: nothing bounded the connections of callers. Once none could be accepted, the event loop stops accepting for a second at a time and reports every failed accept of a backlog.

A limit of descriptors, from the settings or the process, is now divided among connections of callers, requests in progress (whose endpoint connections outlast callers that leave) and relayed connections; the rest is left for the host's own calls. Beyond their share a new connection takes the place of the one idle for longest, and is closed at once, with nothing read, while none is idle. Requests beyond theirs get 503 at once.

--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -110,6 +110,11 @@
         self.connections = LabelledGaugeMetric(
             "connections", "Open connections accepted, by kind of client.", "client"
         )
+        self.closed_connections = LabelledGaugeMetric(
+            "closed_connections",
+            "Connections of callers closed for want of room, since the start.",
+            "reason",
+        )
         self.quota_levels = LabelledGaugeMetric(
             "quota_level_seconds",
             "What a workspace's quota has left, in seconds of its rate.",
--- a/src/amaranthhollow/entry/request_handler.py
+++ b/src/amaranthhollow/entry/request_handler.py
@@ -36,6 +36,8 @@
 QUARANTINE_RETRY_SECONDS = 60.0
 # Short, since the retry reaches another host, or this one after its restart.
 DRAINING_RETRY_SECONDS = 0.1
+# By then some of the requests in progress have ended.
+OVERLOAD_RETRY_SECONDS = 0.5
 
 log = logbook.Logger("requests")
 
@@ -113,12 +115,23 @@
 class RequestHandler:
     """Handles the requests that callers send to one host."""
 
-    def __init__(self, host: Host, admission: Admission, forwarder: Forwarder) -> None:
-        """Handle requests on behalf of ``host``."""
+    def __init__(
+        self,
+        host: Host,
+        admission: Admission,
+        forwarder: Forwarder,
+        max_requests: int,
+    ) -> None:
+        """Handle up to ``max_requests`` at a time on behalf of ``host``.
+
+        A request whose caller has left counts until its endpoint has responded.
+        """
         self._host = host
         self._admission = admission
         self._forwarder = forwarder
         self.rejects_new_requests = False
+        self._max_requests = max_requests
+        self._request_count = 0
         self.refusal_log = RefusalLog(now())
 
     async def handle(self, exchange: Exchange) -> None:
@@ -129,6 +142,10 @@
             return
         if self.rejects_new_requests:
             decision = Rejected(UNAVAILABLE, "shutting down", DRAINING_RETRY_SECONDS)
+        elif self._request_count >= self._max_requests:
+            decision = Rejected(
+                UNAVAILABLE, "too many requests", OVERLOAD_RETRY_SECONDS
+            )
         elif self._host.crash_detector.is_quarantined(request):
             decision = Rejected(
                 UNAVAILABLE, "crashes endpoints", QUARANTINE_RETRY_SECONDS
@@ -171,6 +188,7 @@
     ) -> None:
         self._host.retry_budget(admitted.service).record_request(now())
         request_log = RequestLog()
+        self._request_count += 1
         try:
             await self._forwarder.forward(
                 exchange,
@@ -180,6 +198,7 @@
                 request_log,
             )
         finally:
+            self._request_count -= 1
             self._record_outcome(exchange, request, admitted, request_log)
 
     def _record_outcome(
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -24,6 +24,7 @@
 from amaranthhollow.decisions.usage import UsageCounts
 from amaranthhollow.entry.brittle_limits import BrittleLimits
 from amaranthhollow.entry.crash_detector import CrashDetector
+from amaranthhollow.entry.descriptors import descriptor_budget
 from amaranthhollow.entry.duty_lease import DutyLease
 from amaranthhollow.entry.endpoint_limits import EndpointLimits
 from amaranthhollow.entry.endpoint_statements import StatementLimits
@@ -120,12 +121,16 @@
             AdmissionLimits(self._max_key_age_seconds),
             host.random.random,
         )
-        self._handler = RequestHandler(host, admission, self._forwarder)
+        budget = descriptor_budget(settings.max_descriptors)
+        self._handler = RequestHandler(
+            host, admission, self._forwarder, budget.requests
+        )
         address = settings.address
         self._callers = Listener(
             self._handler.handle,
             *_split_address(settings.callers),
             self._request_limits,
+            budget.caller_connections,
         )
         self._readiness = Listener(
             self._serve_readiness, *_split_address(settings.readiness)
@@ -136,6 +141,7 @@
             address,
             settings.peer_ports.relay,
             Relaying(host, statements),
+            budget.relayed_connections,
         )
         self._stop_requested = asyncio.Event()
         self._was_ready: bool | None = None
@@ -266,6 +272,8 @@
         metrics.open_descriptors.value = len(os.listdir("/proc/self/fd"))
         metrics.connections.values["callers"] = len(self._callers.connections)
         metrics.connections.values["relayed peers"] = len(self._relay.connections)
+        metrics.closed_connections.values["idle"] = self._callers.evicted_count
+        metrics.closed_connections.values["no room"] = self._callers.rejected_count
         metrics.quota_levels.values = host.quotas.level_seconds()
 
     def _request_limits(self) -> RequestLimits:
--- a/src/amaranthhollow/entry/settings.py
+++ b/src/amaranthhollow/entry/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 from result import Ok, Result
@@ -58,6 +58,7 @@
     peer_ports: PortRange
     bounds: Bounds
     is_first_start: bool = False
+    max_descriptors: Annotated[int, msgspec.Meta(gt=0)] | None = None
 
 
 def read_entry_settings(
--- a/src/amaranthhollow/peers/relay_listener.py
+++ b/src/amaranthhollow/peers/relay_listener.py
@@ -25,7 +25,7 @@
 __all__ = ["RelayListener", "RelayPolicy"]
 
 BACKLOG = 1024
-MAX_CONNECTIONS = 1024
+DEFAULT_MAX_CONNECTIONS = 256
 CONNECT_TIMEOUT_SECONDS = 0.4
 
 
@@ -60,11 +60,21 @@
 class RelayListener:
     """Accepts peers at one address and connects them to the endpoints they ask for."""
 
-    def __init__(self, address: str, port: int, policy: RelayPolicy) -> None:
-        """Listen once :meth:`start` is called."""
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        policy: RelayPolicy,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ) -> None:
+        """Listen once :meth:`start` is called.
+
+        Each of up to ``max_connections`` from peers needs another one to an endpoint.
+        """
         self._address = address
         self._port = port
         self.policy = policy
+        self.max_connections = max_connections
         self.connections: set[_PeerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -99,7 +109,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        if len(self._listener.connections) >= MAX_CONNECTIONS:
+        if len(self._listener.connections) >= self._listener.max_connections:
             transport.abort()
             return
         set_timeouts(transport.get_extra_info("socket"))
--- a/src/amaranthhollow/serving/caller_connection.py
+++ b/src/amaranthhollow/serving/caller_connection.py
@@ -57,7 +57,9 @@
         """Register the connection and start its idle timeout."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._listener.add(self)
+        if not self._listener.add(self):
+            transport.abort()
+            return
         self._start_idle_timeout()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -65,7 +67,7 @@
 
         Its task is cancelled unless the exchange continues after a disconnect.
         """
-        self._listener.connections.discard(self)
+        self._listener.remove(self)
         self._queued.clear()
         self.resume_writing()
         exchange = self._exchange
@@ -100,6 +102,7 @@
     def on_message_begin(self) -> None:
         """Start a request and the timeout of its head."""
         self._reset_message()
+        self._listener.mark_busy(self)
         self._is_reading_message = True
         self._arrived_at = now()
         limits = self._listener.limits
@@ -262,6 +265,7 @@
                 self._error_status = self._error_status or HEADERS_TOO_LARGE
 
     def _start_idle_timeout(self) -> None:
+        self._listener.mark_idle(self)
         self._deadline = now() + self._listener.limits.idle_timeout_seconds
 
     def _reset_message(self) -> None:
--- a/src/amaranthhollow/serving/listener.py
+++ b/src/amaranthhollow/serving/listener.py
@@ -18,6 +18,7 @@
 
 BACKLOG = 1024
 TIMEOUT_CHECK_SECONDS = 0.25
+DEFAULT_MAX_CONNECTIONS = 256
 
 
 class Listener:
@@ -35,15 +36,23 @@
         address: str,
         port: int,
         limits: Callable[[], RequestLimits] = RequestLimits,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         """Listen at ``address`` once :meth:`start` is called.
 
-        ``limits`` returns the current limits on requests.
+        ``limits`` returns the current limits on requests. Beyond ``max_connections``
+        each new connection takes the place of the one that was idle for longest, and
+        is closed at once while none is idle.
         """
         self.handle = handle
         self._limits = limits
         self.is_draining = False
         self.connections: set[CallerConnection] = set()
+        self.evicted_count = 0
+        self.rejected_count = 0
+        self._max_connections = max_connections
+        # In the order in which they became idle.
+        self._idle: dict[CallerConnection, None] = {}
         self._address = address
         self._port = port
         self._server: asyncio.Server | None = None
@@ -70,11 +79,43 @@
             reuse_address=True,
         )
 
-    def add(self, connection: CallerConnection) -> None:
-        """Add an accepted connection, and enforce its timeouts."""
+    def add(self, connection: CallerConnection) -> bool:
+        """Add an accepted connection, and enforce its timeouts.
+
+        Return False if there is no room for it.
+        """
+        if len(self.connections) >= self._max_connections and not self._evict_idle():
+            self.rejected_count += 1
+            return False
         self.connections.add(connection)
         if self._timeout_task is None:
             self._timeout_task = asyncio.create_task(self._enforce_timeouts())
+        return True
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Remove a connection that has been lost."""
+        self.connections.discard(connection)
+        self._idle.pop(connection, None)
+
+    def mark_idle(self, connection: CallerConnection) -> None:
+        """Record that a connection waits for its next request."""
+        if connection in self.connections:
+            self._idle.pop(connection, None)
+            self._idle[connection] = None
+
+    def mark_busy(self, connection: CallerConnection) -> None:
+        """Record that a request is being read or handled on a connection."""
+        self._idle.pop(connection, None)
+
+    def _evict_idle(self) -> bool:
+        """Close the connection that was idle for longest; return False without one."""
+        if not self._idle:
+            return False
+        connection = next(iter(self._idle))
+        self.remove(connection)
+        self.evicted_count += 1
+        connection.close()
+        return True
 
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or handled."""
--- a/tests/entry/entry_site.py
+++ b/tests/entry/entry_site.py
@@ -146,6 +146,7 @@
         store_address: str | None = None,
         is_first_start: bool = False,
         source: Path | None = None,
+        max_descriptors: int | None = None,
         **bounds: float,
     ) -> str:
         """Start a daemon of this version, or of that at ``source``."""
@@ -173,6 +174,8 @@
                 **bounds,
             },
         }
+        if max_descriptors is not None:
+            settings["max_descriptors"] = max_descriptors
         file = self.folder / f"{name}.yaml"
         file.write_text(json.dumps(settings))
         log_file = self.folder / f"{name}.log"
