Answer requests that a stopping host will not serve before it ends

Callers whose bodies were on their way late in a planned stop got no answer: the connection was cut at the end, although the host knew from the third second on that it would reject them. They cannot tell that a request which may not be repeated has not run.

A request is now rejected at its head once no more are taken, and what is still incomplete half a second before the end gets 503, not run.

--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -75,6 +75,8 @@
 BALANCER_REMOVAL_SECONDS = 3.0
 # At the end of the shutdown the platform kills the process and cuts open requests.
 EXIT_MARGIN_SECONDS = 0.4
+# Callers whose requests are still incomplete then are told that they have not run.
+UNREAD_MARGIN_SECONDS = 0.5
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
 OUT_OF_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 ACCEPT_WARNING_SECONDS = 1.0
@@ -235,10 +237,13 @@
         log.info("draining", extra={"open": self._callers.open_exchanges})
         await asyncio.sleep(BALANCER_REMOVAL_SECONDS)
         self._handler.rejects_new_requests = True
+        self._callers.rejects_new_requests = True
         while now() < exit_at and (
             self._callers.connections or self._relay.connections
         ):
             self._callers.close_idle()
+            if now() >= exit_at - UNREAD_MARGIN_SECONDS:
+                self._callers.reject_unread()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
 
     async def _run_maintenance(self) -> None:
--- a/src/amaranthhollow/serving/caller_connection.py
+++ b/src/amaranthhollow/serving/caller_connection.py
@@ -28,6 +28,9 @@
 CONTENT_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 INTERNAL_SERVER_ERROR = 500
+UNAVAILABLE = 503
+# Short, since the retry reaches another host.
+UNAVAILABLE_RETRY_SECONDS = 0.1
 
 log = logbook.Logger("connection")
 
@@ -157,6 +160,10 @@
         """Whether no request is being read or handled."""
         return self._exchange is None and not self._is_reading_message
 
+    @property
+    def _is_reading_body(self) -> bool:
+        return self._is_reading_message and self._is_head_complete
+
     @property
     def closes_after_response(self) -> bool:
         """Whether the connection closes after the current response."""
@@ -191,6 +198,11 @@
         else:
             self.close()
 
+    def reject_unread(self) -> None:
+        """Reject a request that is being read, which has not run."""
+        if self._is_reading_message and not self._error_status:
+            self._respond_with_error(UNAVAILABLE)
+
     def _parse(self, data: bytes) -> None:
         was_reading_head = self._is_reading_message and not self._is_head_complete
         try:
@@ -201,6 +213,8 @@
             self._error_status = self._error_status or BAD_REQUEST
         if was_reading_head and self._is_reading_message:
             self._count_unfinished_head(len(data))
+        if self._is_reading_body and self._listener.rejects_new_requests:
+            self._error_status = self._error_status or UNAVAILABLE
         self._start_next()
 
     def _start_next(self) -> None:
@@ -251,6 +265,8 @@
         self._error_status = status
         self._is_reading_message = False
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        if status == UNAVAILABLE:
+            headers.append((b"retry-after", b"%.2f" % UNAVAILABLE_RETRY_SECONDS))
         self.write(encode_response_head(status, headers))
         if self._transport.can_write_eof():
             self._transport.write_eof()
--- a/src/amaranthhollow/serving/listener.py
+++ b/src/amaranthhollow/serving/listener.py
@@ -47,6 +47,7 @@
         self.handle = handle
         self._limits = limits
         self.is_draining = False
+        self.rejects_new_requests = False
         self.connections: set[CallerConnection] = set()
         self.evicted_count = 0
         self.rejected_count = 0
@@ -123,6 +124,11 @@
             if connection.is_idle:
                 connection.close()
 
+    def reject_unread(self) -> None:
+        """Reject the requests that have not been read completely."""
+        for connection in list(self.connections):
+            connection.reject_unread()
+
     def stop(self) -> None:
         """Stop accepting connections."""
         if self._server is not None:
