Pass on levels of quotas that no request has used yet

Levels that were taken over are passed on for ten seconds, by which a bucket that was nearly empty has refilled. The new test failed before.

--- a/src/amaranthhollow/decisions/quota.py
+++ b/src/amaranthhollow/decisions/quota.py
@@ -49,6 +49,8 @@
 MAX_CALM_RATIO = 0.75
 # A host whose reports are older than expected by this is counted as unreachable.
 UNREACHABLE_SECONDS = 1.0
+# By then a bucket that was nearly empty has refilled.
+ADOPTED_LEVELS_SECONDS = 10.0
 # By then the bucket of a restarted host depends on its counts, not on its empty start.
 LEVELS_SETTLING_SECONDS = 2.0
 
@@ -149,7 +151,12 @@
         """Return the level of each workspace's bucket; None soon after a restart."""
         if not self.knows_levels(now):
             return None
-        return {w: b.level for w, b in self._buckets_by_workspace.items()}
+        buckets = self._buckets_by_workspace.items()
+        levels = {workspace: bucket.level for workspace, bucket in buckets}
+        if now - self._adopted_at < ADOPTED_LEVELS_SECONDS:
+            # No request has come here since, so there is no bucket yet.
+            return {**self._adopted_levels, **levels}
+        return levels
 
     def level_seconds(self) -> dict[str, float]:
         """Return what each workspace has left in seconds of its rate, as last known."""
--- a/tests/decisions/test_quota_overdraft.py
+++ b/tests/decisions/test_quota_overdraft.py
@@ -49,3 +49,13 @@
 
     assert not admits(limiter, 3.9)
     assert admits(limiter, 4.1)
+
+
+# A host took an empty bucket for half full that its peer had just been told of.
+def test_level_is_passed_on_by_a_host_without_requests_of_the_workspace():
+    relay = QuotaLimiter(TOLERANCE, restarted_at=0.0)
+    relay.adopt_levels({"w": -RATE}, 0.0)
+    limiter = QuotaLimiter(TOLERANCE, restarted_at=0.1)
+    limiter.adopt_levels(relay.levels(0.1), 0.1)
+
+    assert not admits(limiter, 0.9)
