--- a/tests/decisions/test_budgets.py
+++ b/tests/decisions/test_budgets.py
@@ -175,6 +175,16 @@
 )
 
 
+# What was spent between two losses was not stored, so each time the hosts spent the
+# same levels again.
+def test_quota_is_kept_by_hosts_that_are_all_lost_three_times_in_a_row():
+    machine = QuotaMachine()
+    machine.callers_send_requests(rounds=32, factor=1.0)
+    for down_seconds, requests in ((1.5, 19), (0.0, 9), (0.0, 19)):
+        machine.all_hosts_restart(down_seconds=down_seconds, requests=requests)
+        machine.admitted_cost_stays_within_quota()
+
+
 # Until each host has noticed that it is alone, all spend the same bucket.
 def test_isolated_hosts_keep_a_quota_that_is_exceeded_many_times():
     machine = QuotaMachine()
--- a/tests/decisions/test_stream_origins.py
+++ b/tests/decisions/test_stream_origins.py
@@ -151,3 +151,14 @@
     history.adopt({"model": ("v1",)}, 99.0, complete_since=10.0)
 
     assert not history.seen("model", 80.0, 110.0).is_complete
+
+
+# ORDER: a host that had stood still went on with a stream at another version, since it
+# had never seen the version that began it.
+def test_version_that_may_have_come_and_gone_between_two_lists_is_not_ruled_out():
+    history = VersionHistory(is_first_start=True)
+    history.observe({"m": {"v1"}}, 100.0)
+    history.observe({"m": {"v1"}}, 104.5)
+    seen = history.seen("m", 101.0, 104.6)
+
+    assert resumable_version([seen], is_cut_off=False) is None
--- a/tests/entry/virtual_site.py
+++ b/tests/entry/virtual_site.py
@@ -36,6 +36,7 @@
     repeat_window=10,
     quota_over=0.1,
     quota_slack=190_000,
+    quota_window=8,
 )
 
 
