Refuse a stream of unknown origin at a host that has only its own broken history

Found by reading: once the others count as lost, it has nobody to ask and goes by its own lists, and up to 5 s may lie between two of them, in which a version can come and go. It now needs lists at most 2 s apart to go by them alone; a reply of another host with a complete history serves as before, so that an outage of the store, which all hosts have at once, changes nothing.

The new unit test failed before.

--- a/src/amaranthhollow/decisions/stream_origins.py
+++ b/src/amaranthhollow/decisions/stream_origins.py
@@ -42,7 +42,11 @@
 MAX_ORIGINS = 20_000
 # An endpoint is used once it is listed, which a host learns with this delay at most.
 LIST_DELAY_SECONDS = 2.0
-# A list that was not confirmed for longer may have had other versions in between.
+# A list that was not confirmed for longer may have had other versions in between, if
+# nobody else is there to ask.
+MAX_GAP_ALONE_SECONDS = LIST_DELAY_SECONDS
+# Nor can several hosts rule that out that had none for longer. A shorter gap of all of
+# them is one of the list itself, in which none could learn of a version.
 MAX_CONFIRMATION_GAP_SECONDS = 5.0
 # While all hosts are down, no stream begins. If another host was up, it knows what a
 # host that restarts has missed.
@@ -136,6 +140,7 @@
         """Start without versions; on the first start there were none before."""
         self._last_seen_at: dict[tuple[str, str], float] = {}
         self._complete_since = float("-inf") if is_first_start else float("inf")
+        self._unbroken_since = self._complete_since
         self._confirmed_at: float | None = None
         self._first_confirmed_at: float | None = None
         self._adopted_until = float("-inf")
@@ -170,6 +175,8 @@
             return
         if first - self._adopted_until <= MAX_RESTART_GAP_SECONDS:
             self._complete_since = min(first, self._adopted_since)
+            if self._unbroken_since == first:
+                self._unbroken_since = self._complete_since
 
     def observe(
         self, versions_by_service: Mapping[str, Iterable[str]], confirmed_at: float
@@ -178,11 +185,14 @@
         previous = self._confirmed_at
         if self._complete_since == float("inf"):
             self._complete_since = self._first_confirmed_at = confirmed_at
+            self._unbroken_since = confirmed_at
             self._extend_to_adopted()
         elif previous is not None:
             gap = confirmed_at - previous
             if gap > MAX_CONFIRMATION_GAP_SECONDS:
                 self._complete_since = confirmed_at
+            if gap > MAX_GAP_ALONE_SECONDS:
+                self._unbroken_since = confirmed_at
         self._confirmed_at = max(confirmed_at, previous or confirmed_at)
         for service, versions in versions_by_service.items():
             for version in versions:
@@ -196,8 +206,14 @@
                 found[service] = (*found.get(service, ()), version)
         return found
 
-    def seen(self, service: str, since: float, now: float) -> SeenVersions:
-        """Return the versions that a service has had since a time."""
+    def seen(
+        self, service: str, since: float, now: float, *, is_alone: bool = False
+    ) -> SeenVersions:
+        """Return the versions that a service has had since a time.
+
+        A host that ``is_alone`` has no other to tell of a version that came and went
+        between two of its lists.
+        """
         since -= LIST_DELAY_SECONDS
         confirmed_at = self._confirmed_at
         is_current = confirmed_at is not None and (
@@ -208,7 +224,8 @@
             for (name, version), at in self._last_seen_at.items()
             if name == service and at >= since
         )
-        return SeenVersions(versions, is_current and self._complete_since <= since)
+        complete_since = self._unbroken_since if is_alone else self._complete_since
+        return SeenVersions(versions, is_current and complete_since <= since)
 
 
 def stream_lifetime(timeout_seconds: float) -> float:
--- a/src/amaranthhollow/entry/stream_origins.py
+++ b/src/amaranthhollow/entry/stream_origins.py
@@ -97,7 +97,7 @@
         data_centres_by_peer = self._data_centres_by_peer()
         first = self._holder_table.holders(request_id, data_centres_by_peer)
         others = [peer for peer in data_centres_by_peer if peer not in first]
-        seen = [self._seen(service, since)]
+        seen = [self._seen(service, since, is_alone=True)]
         for hosts in (first, others):
             lookup = await self._ask(hosts, request_id, service, since)
             if lookup.version is not None:
@@ -109,7 +109,7 @@
         if version is not None:
             return version
         is_cut_off = bool(data_centres_by_peer) and len(seen) == 1
-        seen.append(self._seen(service, since))
+        seen.append(self._seen(service, since, is_alone=True))
         version = resumable_version(seen, is_cut_off=is_cut_off)
         log.info(
             "origin of a stream unknown",
@@ -173,12 +173,16 @@
                     versions.add(listed.software_version)
             self._history.observe(versions_by_service, confirmed_at)
 
-    def _seen(self, service: str, since: float) -> SeenVersions:
+    def _seen(
+        self, service: str, since: float, *, is_alone: bool = False
+    ) -> SeenVersions:
         """Return what this host has seen since a time in Unix seconds."""
         self._observe_versions()
         instant = now()
         seconds = self._host.wall_time() - since
-        return self._history.seen(service, instant - seconds, instant)
+        return self._history.seen(
+            service, instant - seconds, instant, is_alone=is_alone
+        )
 
     async def _ask(
         self, hosts: Collection[str], request_id: str, service: str, since: float
--- a/tests/decisions/test_stream_origins.py
+++ b/tests/decisions/test_stream_origins.py
@@ -159,6 +159,19 @@
     history = VersionHistory(is_first_start=True)
     history.observe({"m": {"v1"}}, 100.0)
     history.observe({"m": {"v1"}}, 104.5)
-    seen = history.seen("m", 101.0, 104.6)
+    alone = history.seen("m", 101.0, 104.6, is_alone=True)
 
-    assert resumable_version([seen], is_cut_off=False) is None
+    assert resumable_version([alone], is_cut_off=False) is None
+
+
+# All hosts have such a gap while the store is down, and none can learn of a version.
+def test_gap_of_all_hosts_leaves_their_histories_complete():
+    histories = [VersionHistory(is_first_start=True) for _ in range(2)]
+    for history in histories:
+        history.observe({"m": {"v1"}}, 60.0)
+        for at in (64.0, 66.0, 68.0, 72.5):
+            history.observe({"m": {"v1"}}, at)
+    own, other = histories
+    found = [own.seen("m", 70.0, 72.6, is_alone=True), other.seen("m", 70.0, 72.6)]
+
+    assert resumable_version(found, is_cut_off=False) == "v1"
--- a/tests/decisions/test_version_history.py
+++ b/tests/decisions/test_version_history.py
@@ -96,7 +96,10 @@
         if host not in self.cut:
             self.read_record(host)
         since = self.now - LIFETIME
-        seen = [self.histories[h].seen("m", since, self.now) for h in reachable]
+        seen = [
+            self.histories[h].seen("m", since, self.now, is_alone=h == host)
+            for h in reachable
+        ]
         found = resumable_version(seen, is_cut_off=host in self.cut)
         recent = [
             v for at, v in self.streams if at >= self.now - MAX_STREAM_AGE_SECONDS
