Count open descriptors when metrics are read, and failed accepts only

The gauge was read twice a second, and would have raised on a host that is out of descriptors. The handler of loop errors took any error of a task that was out of descriptors for a failed accept.

--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import time
+from math import nan
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -198,7 +199,8 @@
         The event loop reports each of them, up to a whole backlog at a time.
         """
         error = context.get("exception")
-        if not isinstance(error, OSError) or error.errno not in OUT_OF_RESOURCES:
+        is_accept = "socket" in context and isinstance(error, OSError)
+        if not is_accept or error.errno not in OUT_OF_RESOURCES:
             loop.default_exception_handler(context)
             return
         name = errno.errorcode[error.errno]
@@ -274,7 +276,6 @@
         """Update the gauges of what bounds the requests that this host serves."""
         host, metrics = self.host, self.host.metrics
         metrics.links_lost.value = float(not host.dialer.has_links)
-        metrics.open_descriptors.value = len(os.listdir("/proc/self/fd"))
         metrics.connections.values["callers"] = len(self._callers.connections)
         metrics.connections.values["relayed peers"] = len(self._relay.connections)
         metrics.closed_connections.values["idle"] = self._callers.evicted_count
@@ -311,6 +312,7 @@
         exchange.respond(200 if self._update_readiness() else 503, [], b"")
 
     async def _serve_metrics(self, exchange: Exchange) -> None:
+        self.host.metrics.open_descriptors.value = _open_descriptors()
         body = self.host.metrics.exposition()
         exchange.respond(200, [(b"content-type", CONTENT_TYPE)], body)
 
@@ -359,6 +361,14 @@
     return host
 
 
+def _open_descriptors() -> float:
+    """Return how many descriptors are open, or NaN if that cannot be read."""
+    try:
+        return float(len(os.listdir("/proc/self/fd")))
+    except OSError:
+        return nan
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/tests/entry/test_descriptors.py
+++ b/tests/entry/test_descriptors.py
@@ -11,7 +11,7 @@
     RESERVED_DESCRIPTORS,
     descriptor_budget,
 )
-from tests.entry.entry_site import CALLER_PORT, read_response
+from tests.entry.entry_site import CALLER_PORT, METRICS_PORT, read_response
 
 MAX_DESCRIPTORS = 160
 CALLERS = 300
@@ -79,3 +79,19 @@
     assert later.status == 200
     for _, writer in connections:
         writer.close()
+
+
+async def test_metrics_name_connections_and_descriptors(site):
+    address = await start_daemon(site)
+    _, writer = await open_caller(address, "open")
+    await asyncio.sleep(1.0)
+    response = await site.send_bytes(
+        address, METRICS_PORT, b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"
+    )
+    writer.close()
+    lines = response.body.decode().splitlines()
+    values = dict(line.rsplit(" ", 1) for line in lines if line[:1] != "#")
+
+    assert float(values['amaranthhollow_connections{client="callers"}']) == 1
+    assert 5 < float(values["amaranthhollow_open_descriptors"]) < MAX_DESCRIPTORS
+    assert any('dials_total{outcome="connected"' in line for line in lines)
