--- a/tests/decisions/test_budgets.py
+++ b/tests/decisions/test_budgets.py
@@ -185,6 +185,18 @@
         machine.admitted_cost_stays_within_quota()
 
 
+# What callers had sent at once just before the loss was not stored yet.
+def test_quota_is_kept_by_hosts_that_are_lost_within_a_burst():
+    machine = QuotaMachine()
+    machine.callers_send_requests(rounds=40, factor=1.0)
+    for host, requests in (("a", 57), ("e", 51), ("b", 53)):
+        machine.one_host_gets_requests(host, requests)
+    machine.all_hosts_restart(down_seconds=0.126, requests=164)
+    machine.callers_send_requests(rounds=4, factor=3.0)
+
+    machine.admitted_cost_stays_within_quota()
+
+
 # Until each host has noticed that it is alone, all spend the same bucket.
 def test_isolated_hosts_keep_a_quota_that_is_exceeded_many_times():
     machine = QuotaMachine()
