--- a/review/support/lookups.py
+++ b/review/support/lookups.py
@@ -24,7 +24,6 @@
 SERVICE = "forecast-ledger"
 HOSTNAME = "ledger.example"
 DEADLY_PREFIX = "/lookup/deadly"
-DEADLINE_MS = 3000
 # Of a class of requests in the site files.
 THING_COUNT = 125
 THING_SKEW = 0.3
@@ -39,6 +38,7 @@
     site: Site
     hosts: tuple[str, ...] = ("edge-a-1", "edge-b-1", "edge-c-1")
     engines: list[Engine] = field(default_factory=list)
+    deadline_ms: int = 3000
     answers: dict[int, int] = field(default_factory=dict)
     _numbers: count = field(default_factory=lambda: count(1))
 
@@ -48,10 +48,11 @@
         work_seconds: Callable[[], float],
         *,
         is_deadly: bool = True,
+        slots: int = 6,
     ) -> None:
         """Write the configuration, and start the engines and the hosts."""
         site = self.site
-        site.platform.put("op/config", _configuration())
+        site.platform.put("op/config", _configuration(self.deadline_ms))
         for number in range(engine_count):
             engine = Engine(
                 site,
@@ -60,6 +61,7 @@
                 SERVICE,
                 f"qld-{'abcd'[number % 4]}",
                 work_seconds,
+                slots=slots,
                 is_deadly=lambda r: is_deadly and r.path.startswith(DEADLY_PREFIX),
             )
             await engine.start()
@@ -75,14 +77,18 @@
         """How often engines crashed."""
         return sum(len(engine.crashes) for engine in self.engines)
 
-    def late_runs(self, path: str) -> list[Run]:
-        """Return the runs of a request over ``stable_ms`` after its third crash."""
+    def late_attempts(self, path: str) -> set[str]:
+        """Return the attempts of clients that reach engines late with a request.
+
+        Late is over ``stable_ms`` after the request's third crash. An attempt counts
+        once, however many engines the system sends it to.
+        """
         crashes = self._runs_of(path, [e.crashes for e in self.engines])
         if len(crashes) < 3:
-            return []
+            return set()
         bound = crashes[2].at + STABLE_SECONDS
         runs = self._runs_of(path, [e.runs for e in self.engines])
-        return [run for run in runs if run.at > bound]
+        return {run.request_id for run in runs if run.at > bound}
 
     def _runs_of(self, path: str, by_engine: list[list[Run]]) -> list[Run]:
         runs = [run for runs in by_engine for run in runs if run.target == path]
@@ -94,11 +100,11 @@
         request_id = f"{name}-{next(self._numbers)}"
         head = (
             f"GET {path} HTTP/1.1\r\nHost: {HOSTNAME}\r\nX-Request-Id: {request_id}\r\n"
-            f"X-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer {API_KEY}\r\n"
+            f"X-Deadline-Ms: {self.deadline_ms}\r\nAuthorization: Bearer {API_KEY}\r\n"
         )
         address = self.site.addresses[host]
         answer = await send_request(
-            address, FRONT, head, seconds=DEADLINE_MS / 1000 + 0.2
+            address, FRONT, head, seconds=self.deadline_ms / 1000 + 0.2
         )
         self.answers[answer.status] = self.answers.get(answer.status, 0) + 1
         return answer
@@ -118,7 +124,7 @@
                 break
             if answer.status in PROMISES:
                 wait = float(answer.headers.get("retry-after", 0))
-                await asyncio.sleep(min(wait, DEADLINE_MS / 3000))
+                await asyncio.sleep(min(wait, self.deadline_ms / 3000))
         return statuses
 
     async def send_lookups(self, rate_per_s: float, seconds: float) -> None:
@@ -135,7 +141,7 @@
         await asyncio.gather(*tasks)
 
 
-def _configuration() -> dict:
+def _configuration(timeout_ms: int) -> dict:
     return {
         "version": 3,
         "routes": [
@@ -144,7 +150,7 @@
                 "hostname": HOSTNAME,
                 "prefix": "/lookup/",
                 "route_type": "idempotent",
-                "timeout_ms": DEADLINE_MS,
+                "timeout_ms": timeout_ms,
                 "target_latency_ms": 400,
                 "priority": 2,
                 "backend": SERVICE,
