--- /dev/null
+++ b/review/support-2/leaving_crowd.py
@@ -0,0 +1,31 @@
+"""A program with many connections that ends when the first of them is answered.
+
+Each connection has sent half of a head. When the program ends, all of them close.
+"""
+
+from __future__ import annotations
+
+import os
+import select
+import socket
+import sys
+
+MAX_WAIT_SECONDS = 6.0
+
+
+def main(address: str, port: int, count: int) -> None:
+    """Connect, wait for the first answer, and end without reading the others."""
+    poll = select.epoll()
+    sockets = []
+    for number in range(count):
+        sock = socket.create_connection((address, port), timeout=5)
+        sock.sendall(b"GET /lookup/%d HTTP/1.1\r\nHost: ficu95.example\r\n" % number)
+        poll.register(sock, select.EPOLLIN)
+        sockets.append(sock)
+    print("sent", flush=True)
+    poll.poll(MAX_WAIT_SECONDS)
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], int(sys.argv[2]), int(sys.argv[3]))
