--- a/review/support-2/load.py
+++ b/review/support-2/load.py
@@ -19,12 +19,21 @@
 from small_site import FRONT_PORT, HOSTNAME, SERVER_PORT, Site, ordinary_request
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-__all__ = ["Attempt", "Caller", "Run", "ServiceStandIn", "crowd_head", "hold_crowd"]
+    from collections.abc import Callable, Sequence
+
+__all__ = [
+    "Attempt",
+    "Caller",
+    "Run",
+    "ServiceStandIn",
+    "crowd_head",
+    "crowd_request",
+    "hold_crowd",
+]
 
 CONNECTING_AT_ONCE = 100
 RETRY_SECONDS = 0.2
+BODY_BYTES = 8_000
 
 
 @dataclass
@@ -143,14 +152,19 @@
         streams[1].transport.abort()
 
 
-def crowd_head(number: int, fields: list[tuple[str, str]]) -> bytes:
-    """Return a request whose body lacks its last byte."""
+def crowd_head(number: int, fields: Sequence[tuple[str, str]] = ()) -> bytes:
+    """Return the head of a request with a body."""
     start = (
         f"POST /lookup/{number} HTTP/1.1\r\nHost: {HOSTNAME}\r\n"
-        f"X-Request-Id: crowd-{number}\r\nContent-Length: 400\r\n"
+        f"X-Request-Id: crowd-{number}\r\nContent-Length: {BODY_BYTES}\r\n"
     )
     rest = "".join(f"{name}: {value}\r\n" for name, value in fields)
-    return f"{start}{rest}\r\n".encode() + b"a" * 399
+    return f"{start}{rest}\r\n".encode()
+
+
+def crowd_request(number: int, fields: Sequence[tuple[str, str]] = ()) -> bytes:
+    """Return a request whose body stops one byte short of its end."""
+    return crowd_head(number, fields) + b"a" * (BODY_BYTES - 1)
 
 
 async def hold_crowd(
