Let a restarted host wait a lease before it contends for the duties

Cause: only the memory of a process said that its host had held the lease. A process that starts anew contended 0.75 s after its start.

Change: unless the site starts for the first time, a process contends a full lease after its start, by rank. Whatever its predecessor sent was sent before that. This needs no clock that hosts share and no item in the store.

The state machine of the duties gains kills, and its shutdown no longer skips the time between release and restart.

--- a/src/amaranthhollow/decisions/duties.py
+++ b/src/amaranthhollow/decisions/duties.py
@@ -3,6 +3,8 @@
 The holder counts the lease from before it requested each renewal, so it stops before
 the store grants the lease to another host. A host that has lost the lease contends
 again only after a full lease period, so that two holders cannot alternate within one.
+A process that was started again cannot know whether its predecessor on the same host
+held the lease, so it waits as long.
 
 A store that returns from an older copy has lost leases that it granted. So the holder
 stops as soon as it sees the new era, and nobody contends until the last lease that the
@@ -20,6 +22,8 @@
 
 # A call must reach its target before the lease expires.
 CALL_MARGIN_SECONDS = 0.2
+# By then a host has heard of its peers, and of the one that holds the duties.
+START_DELAY_SECONDS = 0.75
 # Delay between the attempts of hosts of successive ranks, besides the time that a write
 # takes to become known to all, so that each can observe the write of the one before.
 CONTEND_STEP_SECONDS = 0.25
@@ -42,7 +46,7 @@
 class DutyState:
     """One host's view of the duty lease, whether or not it holds it.
 
-    While no holder is known, hosts contend from ``starts_at`` on, by rank.
+    Hosts contend from ``starts_at`` on, by rank.
     ``token_at_restore`` is the fencing token that this host held when it saw that the
     store had been restored, so that no other host has carried out the duties since; 0
     if it held none.
@@ -55,6 +59,21 @@
     token_at_restore: int = 0
     starts_at: float = 0.0
 
+    @classmethod
+    def at_first_start(cls, lease_seconds: float, now: float) -> DutyState:
+        """Return the state of a process whose host cannot have held the lease."""
+        return cls(lease_seconds, starts_at=now + START_DELAY_SECONDS)
+
+    @classmethod
+    def at_restart(cls, lease_seconds: float, now: float) -> DutyState:
+        """Return the state of a process whose host may just have held the lease.
+
+        The previous process may have made calls until it ended, and another host may
+        have made some since.
+        """
+        wait = max(START_DELAY_SECONDS, lease_seconds + CALL_MARGIN_SECONDS)
+        return cls(lease_seconds, starts_at=now + wait)
+
     def acquired(self, fencing_token: int, requested_at: float) -> DutyState:
         """Return the state after the lease was granted."""
         expires_at = requested_at + self.lease_seconds
@@ -145,9 +164,7 @@
         others within ``spread_seconds``.
         """
         step = CONTEND_STEP_SECONDS + spread_seconds
-        expires_at = (
-            self.starts_at
-            if self.observed_holder is None
-            else self.observed_holder.expires_at
-        )
-        return max(self.contends_at, expires_at + rank * step)
+        vacant_at = self.starts_at
+        if self.observed_holder is not None:
+            vacant_at = max(vacant_at, self.observed_holder.expires_at)
+        return max(self.contends_at, vacant_at + rank * step)
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -75,8 +75,6 @@
 
 # Allows for the time to read a request before its key is checked.
 KEY_AGE_MARGIN_SECONDS = 0.5
-# By then a host has heard of its peers, and of the one that holds the duties.
-DUTY_DELAY_SECONDS = 0.75
 MAINTENANCE_INTERVAL_SECONDS = 0.5
 # The load balancer checks readiness once a second and removes a host after two failed
 # checks.
@@ -369,6 +367,9 @@
         metrics.store_calls.increment(kind, succeeded)
 
     bounds = settings.bounds
+    start_duty = (
+        DutyState.at_first_start if settings.is_first_start else DutyState.at_restart
+    )
     site = SiteState(SiteDecoders(decode_configuration, decode_endpoint))
     membership = Membership(settings.host, incarnation, info)
     clock = SiteClock(time.time(), now())
@@ -388,7 +389,7 @@
         store=StoreClient(HttpClient(*_split_address(settings.store)), count_call),
         metrics=metrics,
         random=random,
-        duty=DutyState(bounds.lease_ms / 1000, starts_at=now() + DUTY_DELAY_SECONDS),
+        duty=start_duty(bounds.lease_ms / 1000, now()),
         quotas=QuotaLimiter(
             QuotaTolerance(bounds.quota_over, bounds.quota_slack, bounds.quota_window),
             restarted_at=None if settings.is_first_start else now(),
--- a/tests/decisions/test_duties.py
+++ b/tests/decisions/test_duties.py
@@ -40,6 +40,7 @@
         self.copy = (0, {})
         self.known_era_by_host = dict.fromkeys(HOSTS, 0)
         self.states = {host: DutyState(LEASE_SECONDS) for host in HOSTS}
+        self.released_at_by_host = {}
         self.calls = []
 
     @property
@@ -112,18 +113,36 @@
             self.states[host] = self.states[host].lost(self.now)
 
     @rule(host=st.sampled_from(HOSTS))
-    def shuts_down_and_restarts(self, host):
-        """The notice to the load balancer and the drain precede the restart."""
+    def shuts_down(self, host):
+        """Others may take the duties while the host finishes its open requests."""
         if self.stored is not None and self.stored.host == host:
             del self.stored_by_era[self.era]
         released = self.states[host].released(host)
+        self.states[host] = released
+        self.released_at_by_host.setdefault(host, self.now)
         for other in HOSTS:
             if other != host and released.observed_holder is not None:
                 self.states[other] = self.states[other].observe_holder(
                     released.observed_holder
                 )
-        self.now += LEASE_SECONDS
-        self.states[host] = DutyState(LEASE_SECONDS)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def starts_after_shutdown(self, host):
+        """The drain precedes the restart."""
+        released_at = self.released_at_by_host.pop(host, None)
+        if released_at is not None:
+            self.now = max(self.now, released_at + LEASE_SECONDS)
+            self.starts(host)
+
+    @rule(host=st.sampled_from(HOSTS), down=st.floats(0.05, 1.0))
+    def is_killed_and_started_again(self, host, down):
+        """The process forgets the lease, and the store keeps it until it expires."""
+        self.now += down
+        self.released_at_by_host.pop(host, None)
+        self.starts(host)
+
+    def starts(self, host):
+        self.states[host] = DutyState.at_restart(LEASE_SECONDS, self.now)
         self.known_era_by_host[host] = 0
 
     @rule(sender=st.sampled_from(HOSTS), receiver=st.sampled_from(HOSTS))
@@ -174,6 +193,34 @@
     ]
 
 
+# Guards against holders that act in the order A, B, A within a lease, as A was killed
+# and B gave the lease back.
+def test_killed_holder_that_restarts_does_not_alternate_with_one_that_shuts_down():
+    machine = DutyMachine()
+    machine.contends("a", 0.0)
+    machine.time_passes(0.5)
+    machine.calls_as_holder("a")
+    machine.is_killed_and_started_again("a", 0.3)
+    machine.time_passes(2.25)
+    machine.contends("b", 0.0)
+    machine.calls_as_holder("b")
+    machine.shuts_down("b")
+    machine.contends("a", 0.0)
+    machine.calls_as_holder("a")
+
+    assert [host for _, host, _ in machine.calls] == ["a", "b"]
+    machine.holders_do_not_alternate_within_a_lease()
+
+
+def test_restarted_host_contends_a_lease_after_its_start():
+    state = DutyState.at_restart(LEASE_SECONDS, 10.0)
+    released = ObservedHolder("b", 7, 0.0, is_released=True)
+
+    assert not state.should_contend(0, 13.0)
+    assert not state.observe_holder(released).should_contend(0, 13.0)
+    assert state.observe_holder(released).should_contend(0, 13.3)
+
+
 def test_nobody_contends_before_the_lost_leases_have_expired():
     holder = DutyState(LEASE_SECONDS).acquired(5, 10.0).store_restored(11.0)
     other = DutyState(LEASE_SECONDS).store_restored(11.0)
