Give the lease of the duties back only after the last call

Change: the client of the cloud API rejects new calls and waits for open ones before the lease is ended. If a call had no response within the last lease, it may still arrive, so the lease is left to expire.

--- a/src/amaranthhollow/entry/duty_lease.py
+++ b/src/amaranthhollow/entry/duty_lease.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from amaranthhollow.entry.host import Host
+    from amaranthhollow.platform.cloud import CloudClient
 
 __all__ = ["DutyLease", "era_key", "holder_key"]
 
@@ -45,9 +46,10 @@
 class DutyLease:
     """Acquires, renews and releases the lease of the duties for one host."""
 
-    def __init__(self, host: Host) -> None:
-        """Contend for the lease on behalf of ``host``."""
+    def __init__(self, host: Host, cloud: CloudClient) -> None:
+        """Contend for the lease on behalf of ``host``, whose duties use ``cloud``."""
         self._host = host
+        self._cloud = cloud
         self._lease = Lease(0, 0.0)
         self._renew_at = 0.0
 
@@ -81,10 +83,19 @@
             await self._contend()
 
     async def _release(self) -> None:
-        """End the lease, so that another host need not wait until it expires."""
+        """End the lease, so that another host need not wait until it expires.
+
+        No call of this host may arrive after one of the next holder. One without a
+        response may still be on its way, so the lease is then left to expire.
+        """
         host = self._host
         if host.duty.held_lease is None:
             return
+        await self._cloud.close()
+        uncertain_at = self._cloud.uncertain_at
+        if uncertain_at is not None and now() < uncertain_at + host.duty.lease_seconds:
+            self._mark_lost("shutdown after a call without a response")
+            return
         host.duty = host.duty.released(host.name)
         log.info("duties released")
         await host.store.end(self._lease, CALL_TIMEOUT_SECONDS)
--- a/src/amaranthhollow/entry/service.py
+++ b/src/amaranthhollow/entry/service.py
@@ -110,6 +110,7 @@
         self.peering = Peering(host, documents)
         self.statements = statements = StatementLimits(host)
         cloud = CloudClient(HttpClient(*_split_address(settings.cloud)))
+        self._duty_lease = DutyLease(host, cloud)
         self._usage_duty = UsageDuty(host, cloud)
         self._scaling_duty = ScalingDuty(host, cloud)
         consumers = (host.crash_detector, limits, brittle, statements, host.rollouts)
@@ -201,7 +202,7 @@
             "peering": self.peering.run,
             "site sync": SiteSync(host).run,
             "host registration": HostRegistration(host).run,
-            "duty lease": DutyLease(host).run,
+            "duty lease": self._duty_lease.run,
             "usage duty": self._usage_duty.run,
             "scaling duty": self._scaling_duty.run,
             "rollout duty": RolloutDuty(host).run,
--- a/src/amaranthhollow/platform/cloud.py
+++ b/src/amaranthhollow/platform/cloud.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -13,6 +14,7 @@
 from result import Err, Ok, Result
 
 from amaranthhollow.platform import names
+from amaranthhollow.serving.clock import now
 from amaranthhollow.serving.http_client import Call, CallError, CallFailure, HttpClient
 
 if TYPE_CHECKING:
@@ -36,11 +38,25 @@
 
 
 class CloudClient:
-    """Sends usage reports and orders of engines."""
+    """Sends usage reports and orders of engines.
+
+    ``uncertain_at`` is when a call last ended without a response; it may still arrive.
+    """
 
     def __init__(self, client: HttpClient) -> None:
         """Use the API through ``client``."""
         self._client = client
+        self._is_closed = False
+        self._open_calls = 0
+        self._ended_call = asyncio.Event()
+        self.uncertain_at: float | None = None
+
+    async def close(self) -> None:
+        """Reject new calls, and wait until the open ones have ended."""
+        self._is_closed = True
+        while self._open_calls:
+            self._ended_call.clear()
+            await self._ended_call.wait()
 
     async def report_usage(
         self, report: bytes, holder: DutyHolder, timeout_seconds: float
@@ -83,6 +99,18 @@
             (names.DUTY_HOLDER, holder.host.encode()),
             (names.FENCING_TOKEN, b"%d" % holder.fencing_token),
         )
+        if self._is_closed:
+            return Err(CallError(CallFailure.NOTHING_CHANGED, "shutting down"))
         call = Call(b"POST", target, body, headers)
-        result = await self._client.call(call, timeout_seconds)
+        self._open_calls += 1
+        try:
+            result = await self._client.call(call, timeout_seconds)
+        finally:
+            self._open_calls -= 1
+            self._ended_call.set()
+        if (
+            isinstance(result, Err)
+            and result.err_value.failure is CallFailure.UNCERTAIN
+        ):
+            self.uncertain_at = now()
         return result.map(lambda response: response.status)
