Read lists of the store whole, and leave out items that are too large

Cause: a list ended after 16 pages as if it were whole, and each large entry fills a page. Of 17 items with one on each page the list had 16.

Change: a list is read to its end or fails. What fails leaves the last list in force. Items over 64 KiB, many times an endpoint's entry, are left out of the lists of endpoints and hosts. They are not held in memory, are not sent to peers, and are not read each time: lists begin after them where no other item lies between, and read one of them again every 10 s to find what is new. A list that is interrupted continues after the large items that it has read. A page whose head has arrived has 2.5 s to follow, as one of 1 MB takes longer than a call on a slow link.

All readers of lists get the first part of this: hosts, the usage ledger, crash evidence, streams, roll-outs and the operators' tool.

--- a/src/amaranthhollow/entry/metrics.py
+++ b/src/amaranthhollow/entry/metrics.py
@@ -209,7 +209,7 @@
         )
         self.endpoint_entries = LabelledGaugeMetric(
             "endpoint_entries",
-            "Entries in the list of endpoints, and those of them that are usable.",
+            "Entries listed, usable, and left out as too large.",
             "state",
         )
         self.background_tasks = LabelledGaugeMetric(
--- a/src/amaranthhollow/entry/site_sync.py
+++ b/src/amaranthhollow/entry/site_sync.py
@@ -18,6 +18,7 @@
     seconds_until_retry,
 )
 from amaranthhollow.decisions.membership import DaemonInfo, DaemonStatus
+from amaranthhollow.decisions.oversized_items import OversizedItems
 from amaranthhollow.decisions.peer_protocols import PeerProtocol
 from amaranthhollow.platform.names import (
     CONFIGURATION_KEY,
@@ -105,6 +106,7 @@
             _Document(lambda: site.endpoints_freshness, self._read_endpoints),
         )
         self._watched: _WatchedConfiguration | None = None
+        self._oversized = OversizedItems()
 
     async def run(self) -> None:
         """Read the store whenever a read is due, until cancelled."""
@@ -219,7 +221,11 @@
 
     async def _read_endpoints(self, requested_at: float) -> bool:
         host = self._host
-        result = await host.store.list(ENDPOINT_PREFIX, CALL_TIMEOUT_SECONDS)
+        result = await host.store.list(
+            ENDPOINT_PREFIX, CALL_TIMEOUT_SECONDS, self._oversized
+        )
+        oversized_count = len(self._oversized)
+        host.metrics.endpoint_entries.values["oversized"] = oversized_count
         if isinstance(result, Err):
             return False
         snapshot = _endpoint_snapshot(result.ok_value)
@@ -237,6 +243,7 @@
         self._next_renewal_at = 0.0
         self._next_list_at = 0.0
         self._has_list = False
+        self._oversized = OversizedItems()
 
     async def run(self) -> None:
         """Register, renew and list until cancelled."""
@@ -277,7 +284,9 @@
         has_no_peers = not self._host.reachable_hosts
         if now() < self._next_list_at or not (has_no_peers or not self._has_list):
             return
-        listed = await self._host.store.list(HOSTS_PREFIX, CALL_TIMEOUT_SECONDS)
+        listed = await self._host.store.list(
+            HOSTS_PREFIX, CALL_TIMEOUT_SECONDS, self._oversized
+        )
         if isinstance(listed, Err):
             return
         self._has_list = True
--- a/src/amaranthhollow/platform/store.py
+++ b/src/amaranthhollow/platform/store.py
@@ -8,9 +8,11 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
+import logbook
 import msgspec
 from result import Err, Ok, Result
 
+from amaranthhollow.decisions.oversized_items import MAX_ITEM_BYTES
 from amaranthhollow.decisions.store_position import StorePosition
 from amaranthhollow.platform.store_documents import (
     Changes,
@@ -29,11 +31,14 @@
     decode_item,
     decode_items,
 )
+from amaranthhollow.serving.clock import now
 from amaranthhollow.serving.http_client import Call, CallError, CallFailure, HttpClient
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from amaranthhollow.decisions.oversized_items import OversizedItems
+
 __all__ = ["Changes", "Lease", "Snapshot", "StoreClient", "StoredItem", "Write"]
 
 OK = 200
@@ -41,11 +46,20 @@
 PRECONDITION_FAILED = 412
 TOO_MANY_REQUESTS = 429
 SERVICE_UNAVAILABLE = 503
-# A page has about 500 items; a site of the target size has fewer than 4 pages.
-MAX_PAGES = 16
+# A page has about 500 items or 1 MB; a site of the target size has fewer than 4 pages.
+MAX_PAGES = 1000
+# Time to receive a page with one value of the largest size over a link of 5 Mbit/s.
+PAGE_SECONDS = 2.5
 GONE = 410
 # The store responds within milliseconds, or 250 ms when it is slow.
 CALL_TIMEOUT_SECONDS = 0.8
+# Of the base64 text of a value.
+MAX_ENCODED_BYTES = MAX_ITEM_BYTES * 4 // 3
+# Of one page; another writer may leave items by the hundred.
+MAX_OVERSIZED_LINES = 10
+MAX_KEY_LENGTH = 200
+
+log = logbook.Logger("store")
 
 
 @dataclass(frozen=True)
@@ -109,37 +123,58 @@
         )
 
     async def list(
-        self, prefix: str, timeout_seconds: float = CALL_TIMEOUT_SECONDS
+        self,
+        prefix: str,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        oversized: OversizedItems | None = None,
     ) -> Result[Snapshot, CallError]:
-        """Return the newest state of all items under a prefix.
+        """Return the newest state of all items under a prefix, or an error.
 
-        The position is that of the first page, so that a watch from there reports
-        what changed while the other pages were read.
+        With ``oversized``, items that are too large are left out, and are recorded
+        there. The position is that of the first page, so that a watch from there
+        reports what changed while the other pages were read.
         """
         items: list[StoredItem] = []
         position: StorePosition | None = None
         after = ""
+        if oversized is not None:
+            oversized.begin(now())
         for _ in range(MAX_PAGES):
-            target = f"/kv-range?prefix={quote(prefix, safe='')}"
-            if after:
-                target += f"&start_after={quote(after, safe='')}"
-            call = Call(b"GET", target.encode())
-            result = await self._call("list", call, timeout_seconds, (OK,))
-            if isinstance(result, Err):
-                return result
-            era = result.ok_value.era
-            decoded = decode_body(result.ok_value.body, WirePage)
-            if isinstance(decoded, Err):
-                return decoded
-            page = decoded.ok_value
+            if oversized is not None:
+                after = oversized.skip(after)
+            read = await self._read_page(prefix, after, timeout_seconds)
+            if isinstance(read, Err):
+                return read
+            page, era = read.ok_value
             position = position or StorePosition(era, page.as_of)
             if era != position.era:
                 return Err(_restored_during_call())
-            items += decode_items(page.items, era)
-            if not page.has_more or not page.items:
-                break
+            if oversized is None:
+                items += decode_items(page.items, era)
+            else:
+                items += _decode_small_items(page, era, after, oversized)
+            if not page.has_more:
+                return Ok(Snapshot(tuple(items), position))
+            if not page.items or page.items[-1].key <= after:
+                return Err(CallError(CallFailure.UNCERTAIN, "pages do not advance"))
             after = page.items[-1].key
-        return Ok(Snapshot(tuple(items), position))
+        return Err(CallError(CallFailure.UNCERTAIN, "too many pages"))
+
+    async def _read_page(
+        self, prefix: str, after: str, timeout_seconds: float
+    ) -> Result[tuple[WirePage, int], CallError]:
+        """Return a page of a list and the era in which it was read."""
+        target = f"/kv-range?prefix={quote(prefix, safe='')}"
+        if after:
+            target += f"&start_after={quote(after, safe='')}"
+        call = Call(b"GET", target.encode(), body_seconds=PAGE_SECONDS)
+        result = await self._call("list", call, timeout_seconds, (OK,))
+        if isinstance(result, Err):
+            return result
+        response = result.ok_value
+        return decode_body(response.body, WirePage).map(
+            lambda page: (page, response.era)
+        )
 
     async def watch(
         self,
@@ -266,6 +301,25 @@
         return Err(CallError(CallFailure.UNCERTAIN, f"status {status}"))
 
 
+def _decode_small_items(
+    page: WirePage, era: int, after: str, oversized: OversizedItems
+) -> tuple[StoredItem, ...]:
+    """Return the items of a page that are not too large, and record the others."""
+    small = [item for item in page.items if len(item.value) <= MAX_ENCODED_BYTES]
+    small_keys = {item.key for item in small}
+    new_keys = oversized.record_page(
+        after,
+        small_keys,
+        {item.key for item in page.items} - small_keys,
+        not page.has_more,
+        now(),
+    )
+    for key in sorted(new_keys)[:MAX_OVERSIZED_LINES]:
+        extra = {"key": key[:MAX_KEY_LENGTH], "of": len(oversized)}
+        log.warning("item too large; left out", extra=extra)
+    return decode_items(small, era)
+
+
 def _encode_change(
     expected_by_key: Mapping[str, StorePosition | None],
     writes: tuple[Write, ...],
--- a/src/amaranthhollow/serving/http_client.py
+++ b/src/amaranthhollow/serving/http_client.py
@@ -22,6 +22,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pydantic import AnyHttpUrl
 
     from amaranthhollow.serving.endpoint_connection import EndpointConnection
@@ -52,12 +54,17 @@
 
 @dataclass(frozen=True)
 class Call:
-    """A request to the server of an :class:`HttpClient`."""
+    """A request to the server of an :class:`HttpClient`.
+
+    Once the head of the response has arrived, its body may take ``body_seconds``,
+    though the time for the call is over.
+    """
 
     method: bytes
     target: bytes
     body: bytes = b""
     headers: tuple[Header, ...] = ()
+    body_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -89,13 +96,15 @@
         """Send ``call`` and return its complete response."""
         connection: EndpointConnection | None = None
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with asyncio.timeout(timeout_seconds) as timeout:
                 connection = await self._acquire()
                 if connection is None:
                     error = CallError(CallFailure.NOTHING_CHANGED, "cannot connect")
                     return Err(error)
                 connection.send(self._encode(call))
-                result = await _read_response(connection)
+                result = await _read_response(
+                    connection, lambda: _extend(timeout, call.body_seconds)
+                )
         except TimeoutError:
             self._discard(connection)
             return Err(CallError(CallFailure.UNCERTAIN, "timed out"))
@@ -136,8 +145,14 @@
             self._idle.pop().close()
 
 
+def _extend(timeout: asyncio.Timeout, seconds: float) -> None:
+    """Let a call go on for that long from now, if its time would be over before."""
+    deadline = asyncio.get_running_loop().time() + seconds
+    timeout.reschedule(max(timeout.when(), deadline))
+
+
 async def _read_response(
-    connection: EndpointConnection,
+    connection: EndpointConnection, notify_head: Callable[[], None]
 ) -> Result[CallResponse, CallError]:
     status = 0
     headers: tuple[Header, ...] = ()
@@ -146,6 +161,7 @@
         match await connection.read():
             case ResponseHead() as head:
                 status, headers = head.status, head.headers
+                notify_head()
             case BodyPart(data):
                 body += data
                 if len(body) > MAX_BODY_BYTES:
--- a/tests/entry/test_odd_entries.py
+++ b/tests/entry/test_odd_entries.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import time
 from contextlib import asynccontextmanager
 
@@ -12,6 +13,9 @@
 HEARTBEAT_SECONDS = 0.6
 # The first list of a host that has just started, and a connection to each endpoint.
 START_SECONDS = 3.0
+# The largest value that the store accepts; each fills a page of a list.
+MAX_VALUE_BYTES = 1 << 20
+LARGE_ENTRIES = 20
 REQUESTS = 30
 ENDPOINT_NUMBERS = {"e1": 11, "e2": 12}
 
@@ -125,3 +129,31 @@
             await send_requests(site, addresses[:1])
 
     assert site.arrivals
+
+
+# A list that filled more pages than were read lacked all endpoints, and hosts took
+# these for gone.
+async def test_service_returns_after_the_loss_of_all_hosts_beside_large_entries(site):
+    draw = random.Random(1)
+    for endpoint_id, number in ENDPOINT_NUMBERS.items():
+        await site.add_endpoint(endpoint_id, number)
+    for address in start_hosts(site):
+        await site.wait_ready(address)
+    for number in range(LARGE_ENTRIES):
+        site.store.put(f"servers/a-{number:03}", draw.randbytes(MAX_VALUE_BYTES))
+    for process in site.processes.values():
+        process.kill()
+        process.wait()
+    addresses = start_hosts(site)
+    for address in addresses:
+        await site.wait_ready(address)
+    await asyncio.sleep(START_SECONDS)
+    pages_before = site.store.calls_by_kind["kv-range"]
+    outcomes = await send_requests(site, addresses)
+    await asyncio.sleep(2.0)
+    pages = site.store.calls_by_kind["kv-range"] - pages_before
+
+    assert outcomes == {200: REQUESTS}
+    # Two pages for each list of endpoints, as large entries are not read each time.
+    assert pages < LARGE_ENTRIES
+    assert all('"key":"servers/a-' in site.read_log(n) for n in site.processes)
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -29,6 +29,7 @@
 __all__ = ["StoreStandIn"]
 
 PAGE_ITEMS = 500
+PAGE_BYTES = 1 << 20
 MAX_VALUE_BYTES = 1 << 20
 READ_ONLY_PREFIXES = ("op/", "servers/")
 
@@ -202,9 +203,15 @@
     async def _list_range(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], request.query.get("start_after", "")
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page, size = [], 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(self.items[key].value)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(self.items[key].to_document(key))
         body = {
-            "items": [self.items[key].to_document(key) for key in keys[:PAGE_ITEMS]],
-            "has_more": len(keys) > PAGE_ITEMS,
+            "items": page,
+            "has_more": len(keys) > len(page),
             "as_of": self._revision,
         }
         return web.json_response(body)
