Read the configuration when a watch for its changes keeps failing

After an outage of the store with ten configurations of 0.9 MB each, a host answered 503 ("keys may be outdated") for good: the response to its watch has all versions since the last one, which exceeds the 8 MB that a response may have, and each further watch began at the same position.

Change: after two failed watches the host reads the newest configuration alone and watches from there.

The new test fails before: 503 five seconds after the store is back.

--- a/src/amaranthhollow/entry/site_sync.py
+++ b/src/amaranthhollow/entry/site_sync.py
@@ -54,6 +54,9 @@
 # The first host hears of a change at once, and of none by the time of its next read.
 WATCH_SECONDS = 0.5
 MIN_WATCH_SECONDS = 0.02
+# The changes since the last watch may exceed what a response may have. The newest one
+# is then read alone.
+MAX_FAILED_WATCHES = 2
 UNKNOWN_VERSION = -2
 # A registration tells new hosts whom to ask. Gossip tells who is alive, so the entry of
 # a host that is gone costs a new one only a few pings.
@@ -106,6 +109,7 @@
             _Document(lambda: site.endpoints_freshness, self._read_endpoints),
         )
         self._watched: _WatchedConfiguration | None = None
+        self._failed_watches = 0
         self._oversized = OversizedItems()
 
     async def run(self) -> None:
@@ -192,7 +196,11 @@
             CONFIGURATION_TIMEOUT_SECONDS,
         )
         if isinstance(result, Err):
+            self._failed_watches += 1
+            if self._failed_watches >= MAX_FAILED_WATCHES:
+                self._watched = None
             return False
+        self._failed_watches = 0
         changes = result.ok_value
         if changes is None:
             self._watched = None
@@ -213,6 +221,7 @@
 
     def _apply_configuration(self, item: StoredItem, requested_at: float) -> None:
         site = self._host.site
+        self._failed_watches = 0
         is_current = site.is_configuration_current(requested_at)
         site.apply_configuration(item.value, requested_at if is_current else None)
         is_applied = site.configuration_value == item.value
--- a/tests/entry/test_site_sync.py
+++ b/tests/entry/test_site_sync.py
@@ -118,3 +118,20 @@
     other = {"e1": "e2", "e2": "e1"}[second.headers["x-expect-instance"]]
     assert "kv-fetch" not in first.headers
     assert second.headers["kv-fetch"] == address_by_id[other]
+
+
+# Changes that together exceed what a response may have kept a host from the newest one.
+async def test_configuration_is_read_after_more_changes_than_a_watch_may_return(
+    site, daemon_address
+):
+    site.store.faults["refuse_connections"] = True
+    await asyncio.sleep(0.5)
+    padding = "x" * 900_000
+    for version in range(2, 12):
+        site.configure(version, padding=padding)
+    site.configure(12, tenants=[{"name": "w1", "api_keys": ["key-2"]}])
+    site.store.faults["refuse_connections"] = False
+    await asyncio.sleep(5.0)
+
+    response = await site.send_request(daemon_address, "/plain/", "r1", key="key-2")
+    assert response.status == 200
