Take a response that ends before its request was sent for incomplete

An endpoint answered a long upload at once with a 200 without length, sent a part, ended its side and reset the connection 50 ms later.

Cause: the end of file completes a response without length, and the reset comes after the connection has been left. A reset without an end of file, or one that arrives while this host still has bytes in its own buffer, was noticed.

Change: at the end of file the connection looks whether bytes of the request still wait, in its buffer or in that of the system (SIOCOUTQ). An endpoint that has received the whole request has acknowledged it by then. The same holds for connections that a peer relays, where the relay is the one that can see it.

An upload that fits whole into the receive buffer of an endpoint that never reads it can't be told from a complete one in this way.

--- a/src/amaranthhollow/peers/relay_listener.py
+++ b/src/amaranthhollow/peers/relay_listener.py
@@ -19,6 +19,7 @@
 from amaranthhollow.peers.relayed_exchange import RelayedExchange
 from amaranthhollow.serving.acceptor import Acceptor
 from amaranthhollow.serving.endpoint_connection import set_timeouts
+from amaranthhollow.serving.unsent_bytes import has_unsent_bytes
 
 if TYPE_CHECKING:
     from amaranthhollow.serving.messages import Header, ResponseHead
@@ -224,7 +225,11 @@
             self._peer.write(encode_frame(data))
 
     def eof_received(self) -> None:
-        if not self._is_closed:
+        """Pass the end on, unless the endpoint has not received the whole request.
+
+        The peer sees how much it has sent to this host alone.
+        """
+        if not self._is_closed and not has_unsent_bytes(self.transport):
             self._has_ended = True
             self._peer.write(END_FRAME)
 
--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -12,6 +12,7 @@
 
 from amaranthhollow.serving.clock import now
 from amaranthhollow.serving.messages import Header, ResponseHead, find_header
+from amaranthhollow.serving.unsent_bytes import has_unsent_bytes
 
 __all__ = [
     "BodyPart",
@@ -98,6 +99,7 @@
         self._ignores_message = False
         self._is_close_delimited = False
         self._received_eof = False
+        self._ended_before_request = False
         self._loss: ConnectionLost | None = None
         self._headers: list[Header] = []
         self._is_reading_head = False
@@ -140,17 +142,26 @@
         self._wake_reader()
 
     def eof_received(self) -> None:
-        """Record the end of file, which completes a close-delimited response."""
+        """Record the end of file, which completes a close-delimited response.
+
+        An endpoint that has not received the whole request by then may still reset the
+        connection, which nobody would see.
+        """
         self._received_eof = True
+        self._ended_before_request = has_unsent_bytes(self._transport)
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the pending response, as complete only if it is close-delimited."""
         was_closed = self._received_eof and error is None
         if self._loss is None:
             kind = LossKind.CLOSED if was_closed else LossKind.RESET
-            self._loss = ConnectionLost(kind, str(error or "closed"))
+            detail = "closed before the request was sent"
+            if not self._ended_before_request:
+                detail = str(error or "closed")
+            self._loss = ConnectionLost(kind, detail)
         if self._awaits_response:
-            if was_closed and self._is_close_delimited:
+            is_whole = was_closed and not self._ended_before_request
+            if is_whole and self._is_close_delimited:
                 self._complete_response()
             else:
                 self._events.append(self._loss)
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -361,3 +361,31 @@
     connection = await connect_through_peer(("127.0.0.1", port), endpoint, 1.0)
     assert isinstance((await read_response(connection))[-1], ConnectionLost)
     assert len(FrameReader().feed(data[1])) == 0
+
+
+# A relay told its peer that a response was over, of which the endpoint had only sent a
+# part: the peer can't see that the endpoint has not received the whole request.
+async def test_relayed_response_that_ends_before_its_request_was_sent_is_incomplete(
+    relayed,
+):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await asyncio.sleep(0.05)
+        writer.write_eof()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    relayed.is_endpoint = lambda target: True
+    address = f"{relayed.network}.12"
+    server = await asyncio.start_server(respond, address, PORT, limit=1024)
+    connection = await relayed.connect(12)
+    body = bytes(1 << 20)
+    head = b"POST / HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: %d\r\n\r\n"
+    connection.send(head % len(body) + body)
+    events = [await connection.read()]
+    while not isinstance(events[-1], ResponseEnd | ConnectionLost):
+        events.append(await connection.read())
+    server.close()
+
+    assert isinstance(events[-1], ConnectionLost)
