Treat a response with a status that HTTP does not have as malformed

An endpoint in trouble sent the status 000. Statuses like 999 were passed on.

Cause: the connection took every status below 200 for an informational response, whose head it does not report, and read its body all the same.

Change: a status outside 100 to 599 (RFC 9110 section 15) is malformed like any other bytes that are no response: the request is tried again where it may be, and its caller else gets 502. A relay no longer believes what such a response says of its endpoint.

The new tests fail before, for 000, 099 and 999 with a daemon, and for 600 too at the connection.

--- a/src/amaranthhollow/peers/relayed_exchange.py
+++ b/src/amaranthhollow/peers/relayed_exchange.py
@@ -13,7 +13,7 @@
 
 __all__ = ["RelayedExchange"]
 
-FIRST_FINAL_STATUS = 200
+FINAL_STATUS_CODES = range(200, 600)
 # Four times the largest head of a request.
 MAX_HEAD_BYTES = 65_536
 
@@ -70,7 +70,7 @@
     def _read_response_head(self, headers: tuple[Header, ...]) -> None:
         status = self._response.parser.get_status_code()
         echoed = self._find_identifier(headers)
-        self._is_response_expected = status >= FIRST_FINAL_STATUS and (
+        self._is_response_expected = status in FINAL_STATUS_CODES and (
             self._request_count == 1 if echoed is None else echoed == self.identifier
         )
         if self._is_response_expected:
--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -37,6 +37,8 @@
 MAX_QUEUED_BYTES = 32_768
 # Four times the largest head of a request.
 MAX_HEAD_BYTES = 65_536
+# RFC 9110 section 15.
+STATUS_CODES = range(100, 600)
 
 
 class LossKind(Enum):
@@ -187,6 +189,10 @@
         self._is_reading_head = False
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
+        if status not in STATUS_CODES:
+            self._ignores_message = True
+            self._fail(f"status {status:03} is not one of HTTP")
+            return
         if self._is_of_unknown_request(status, headers):
             self._fail("received a response without the identifier of its request")
         self._ignores_message = not self._awaits_response or not self._matches_request()
--- a/tests/entry/test_malformed_input.py
+++ b/tests/entry/test_malformed_input.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 from random import Random
 
+import pytest
+
 from tests.entry.entry_site import API_KEY, CALLER_PORT
 from tests.standins.scripted_endpoint import (
     plain_response,
@@ -162,3 +164,21 @@
         assert [response.status for response in responses] == [502, 502, 502]
 
     await check_valid_requests_during(site, daemon_address, send_all())
+
+
+# A caller got 500, or a status that HTTP does not have, from a faulty endpoint.
+@pytest.mark.parametrize("status", [0, 99, 600, 999])
+async def test_response_with_an_unknown_status_is_tried_again_or_502(
+    site, daemon_address, status
+):
+    script = [b"HTTP/1.1 %03d X\r\nContent-Length: 2\r\n\r\nno" % status]
+    endpoint = site.endpoints["e1"]
+    endpoint.scripts_by_path = {"/plain/x": script, "/once/x": script}
+    site.endpoints["e2"].scripts_by_path = {"/once/x": script}
+    answers = [
+        await site.send_request(daemon_address, path, f"r{number}", method="POST")
+        for number, path in enumerate(["/plain/x", "/once/x"] * 6)
+    ]
+
+    assert endpoint.arrivals
+    assert [a.status for a in answers] == [200, 502] * 6
--- a/tests/serving/test_faulty_responses.py
+++ b/tests/serving/test_faulty_responses.py
@@ -1,4 +1,4 @@
-"""Responses of faulty endpoints."""
+"""Responses of faulty endpoints: cut, or of no valid status."""
 
 from __future__ import annotations
 
@@ -12,11 +12,13 @@
 from amaranthhollow.serving.endpoint_connection import (
     BodyPart,
     ConnectionLost,
+    LossKind,
     ResponseEnd,
     connect,
 )
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n"
+GET = b"GET /x HTTP/1.1\r\nhost: x\r\n\r\n"
 # The buffers of the system hold the rest of the first, and not of the last.
 BODY_BYTES = [400_000, 3 << 20, 16 << 20]
 
@@ -94,3 +96,17 @@
         events = await read_events(connection)
 
     assert events[1:] == [BodyPart(b"whole"), ResponseEnd()]
+
+
+# A caller got 500, or a status that HTTP does not have.
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+async def test_status_that_http_does_not_have_is_malformed(status):
+    async def respond(reader, writer):
+        writer.write(b"HTTP/1.1 %s X\r\ncontent-length: 2\r\n\r\nok" % status)
+
+    async with connection_to(respond) as connection:
+        connection.send(GET)
+        events = await read_events(connection)
+
+    assert [type(event) for event in events] == [ConnectionLost]
+    assert events[0].kind is LossKind.MALFORMED
