Bound the framing of responses: chunk sizes, extensions and trailers

A faulty endpoint sent trailers without end after the last chunk of its response.

Cause: the size limits of a response cover its head and its body. A trailer is neither: the parser reports it as a header, which the connection stored, and buffers one without an end of line. The same connections read the store, the cloud API and peers' documents; a relay reads the messages that pass through.

Change: trailers are not stored, and 64 KiB without data of a body make a response malformed. A relay stops reading such a connection. Looked at as well, and bounded before: status line, fields and 1xx responses (the head), chunks of one byte (the body), bytes after the end (the connection is closed), requests of callers (their framing is bounded), frames of peers (1 MiB).

The new tests fail before: the connection reads to the end, the relay keeps 40,001 fields, and callers get 504 at their deadline in place of 502.

--- a/src/amaranthhollow/peers/relayed_exchange.py
+++ b/src/amaranthhollow/peers/relayed_exchange.py
@@ -14,7 +14,8 @@
 __all__ = ["RelayedExchange"]
 
 FINAL_STATUS_CODES = range(200, 600)
-# Four times the largest head of a request.
+# Four times the largest head of a request; also bounds trailers, and what else is not
+# part of a body.
 MAX_HEAD_BYTES = 65_536
 
 
@@ -91,20 +92,27 @@
         self.is_in_message = False
         self._headers: list[Header] = []
         self._head_bytes = 0
+        self._framing_bytes = 0
+        self._has_read_body = False
         self._is_reading_head = False
 
     def feed(self, data: bytes) -> None:
         """Read bytes, unless earlier ones could not be parsed."""
         if not self.is_readable:
             return
+        self._has_read_body = False
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._stop()
         if self._is_reading_head:
             self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._stop()
+        elif self.is_in_message and not self._has_read_body:
+            self._framing_bytes += len(data)
+        else:
+            self._framing_bytes = 0
+        if max(self._head_bytes, self._framing_bytes) > MAX_HEAD_BYTES:
+            self._stop()
 
     def _stop(self) -> None:
         self.is_readable = False
@@ -114,17 +122,21 @@
 
     def on_message_begin(self) -> None:
         self._headers = []
-        self._head_bytes = 0
+        self._head_bytes = self._framing_bytes = 0
         self._is_reading_head = True
         self.is_in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        if self._is_reading_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         self._is_reading_head = False
         self.on_head(tuple(self._headers))
 
+    def on_body(self, body: bytes) -> None:
+        self._has_read_body = True
+
     def on_message_complete(self) -> None:
         self.is_in_message = False
         self.on_end()
--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -37,6 +37,8 @@
 MAX_QUEUED_BYTES = 32_768
 # Four times the largest head of a request.
 MAX_HEAD_BYTES = 65_536
+# Of chunk sizes, their extensions and trailers without data in between.
+MAX_FRAMING_BYTES = 65_536
 # RFC 9110 section 15.
 STATUS_CODES = range(100, 600)
 
@@ -106,6 +108,8 @@
         self._headers: list[Header] = []
         self._is_reading_head = False
         self._head_bytes = 0
+        self._framing_bytes = 0
+        self._has_read_body = False
         self.last_used_at = now()
         self.idle_until = 0.0
         self.relay: str | None = None
@@ -129,6 +133,7 @@
         if not self._awaits_response:
             self._fail("received bytes without a pending request")
             return
+        self._has_read_body = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -139,6 +144,13 @@
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES:
                 self._fail("response head exceeds the size limit")
+        elif self._awaits_response:
+            # The parser buffers trailers, and reports no body meanwhile.
+            self._framing_bytes = (
+                0 if self._has_read_body else (self._framing_bytes + len(data))
+            )
+            if self._framing_bytes > MAX_FRAMING_BYTES:
+                self._fail("framing of the response exceeds the size limit")
         if self._queued_bytes > MAX_QUEUED_BYTES:
             self._transport.pause_reading()
         self._wake_reader()
@@ -176,13 +188,14 @@
         """Start a response; one without a request makes the connection unusable."""
         self._headers = []
         self._is_reading_head = True
-        self._head_bytes = 0
+        self._head_bytes = self._framing_bytes = 0
         if not self._awaits_response:
             self._must_close = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name.lower(), value))
+        """Store a header; trailers are not forwarded."""
+        if self._is_reading_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Queue the head of the expected response."""
@@ -217,6 +230,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
+        self._has_read_body = True
         if not self._ignores_message:
             self._events.append(BodyPart(body))
             self._queued_bytes += len(body)
--- a/tests/entry/test_malformed_input.py
+++ b/tests/entry/test_malformed_input.py
@@ -21,6 +21,8 @@
 VALID_REQUEST_INTERVAL_SECONDS = 0.02
 # A third of the memory of the smallest host, which has 200 MiB.
 MAX_RESIDENT_KB = 200 * 1024 // 3
+# Of one response: 32 MiB.
+ENDLESS_PART_BYTES, ENDLESS_PARTS = 1 << 20, 32
 REQUEST_HEAD = (
     f"POST /plain/x HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: h1\r\n"
     f"X-Deadline-Ms: 300\r\nAuthorization: Bearer {API_KEY}\r\n"
@@ -182,3 +184,24 @@
 
     assert endpoint.arrivals
     assert [a.status for a in answers] == [200, 502] * 6
+
+
+# A host kept all trailers of a response, and was killed for its memory with the
+# requests of all its callers.
+@pytest.mark.parametrize("line", [b"X-Trailer: 1\r\n", b"x"], ids=["fields", "line"])
+async def test_trailers_without_end_take_no_memory(site, daemon_address, line):
+    head = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    part = line * (ENDLESS_PART_BYTES // len(line))
+    script = [head + b"4\r\nbody\r\n0\r\n", *[part] * ENDLESS_PARTS]
+    for endpoint in site.endpoints.values():
+        endpoint.scripts_by_path = {"/plain/endless": script}
+    sends = [
+        site.send_request(daemon_address, "/plain/endless", f"r{number}")
+        for number in range(6)
+    ]
+    answers = await asyncio.gather(*sends)
+    other = await site.send_request(daemon_address, "/plain/x", "r9")
+
+    assert [answer.status for answer in answers] == [502] * 6
+    assert other.status == 200
+    assert resident_kb(site.processes["host-1"].pid) < MAX_RESIDENT_KB
--- a/tests/peers/test_relay.py
+++ b/tests/peers/test_relay.py
@@ -27,6 +27,7 @@
 )
 
 PORT = 9000
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 REQUEST = b"GET / HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n"
 
 
@@ -309,7 +310,14 @@
 
 # Bytes that are no response may come without end.
 @pytest.mark.parametrize(
-    "data", [b"\0" * 100, b"HTTP/1.1 200 OK\r\nX: " + b"y" * 200_000]
+    "data",
+    [
+        b"\0" * 100,
+        b"HTTP/1.1 200 OK\r\nX: " + b"y" * 200_000,
+        CHUNKED_HEAD + b"0\r\nX: " + b"y" * 200_000,
+        CHUNKED_HEAD + b"0\r\n" + b"X: y\r\n" * 40_000,
+    ],
+    ids=["no head", "endless head", "endless trailer", "trailers without end"],
 )
 async def test_bytes_that_are_no_response_are_relayed_and_not_kept(relayed, data):
     exchange = RelayedExchange(lambda head: None, find_identifier)
--- a/tests/serving/test_faulty_responses.py
+++ b/tests/serving/test_faulty_responses.py
@@ -1,4 +1,4 @@
-"""Responses of faulty endpoints: cut, or of no valid status."""
+"""Responses of faulty endpoints: cut, of no valid status, or without end."""
 
 from __future__ import annotations
 
@@ -10,17 +10,20 @@
 import pytest
 
 from amaranthhollow.serving.endpoint_connection import (
+    MAX_HEAD_BYTES,
     BodyPart,
     ConnectionLost,
     LossKind,
     ResponseEnd,
     connect,
 )
+from amaranthhollow.serving.messages import ResponseHead
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: %d\r\n\r\n"
 GET = b"GET /x HTTP/1.1\r\nhost: x\r\n\r\n"
 # The buffers of the system hold the rest of the first, and not of the last.
 BODY_BYTES = [400_000, 3 << 20, 16 << 20]
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
 @asynccontextmanager
@@ -110,3 +113,52 @@
 
     assert [type(event) for event in events] == [ConnectionLost]
     assert events[0].kind is LossKind.MALFORMED
+
+
+# A host kept all trailer fields of a response until it ran out of memory.
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"0\r\n" + b"x-a: b\r\n" * 1000,
+        b"0\r\nx-a: " + b"b" * 8000,
+        b"0\r\n" + b"x" * 8000,
+        b"4;" + b"e" * 8000,
+        b"4\r\nbody\r\n0\r\nx-a: " + b"b" * 8000,
+    ],
+    ids=["trailers", "value", "name", "extension", "trailer after a body"],
+)
+async def test_framing_without_end_is_malformed(part):
+    sent = 0
+
+    async def respond(reader, writer):
+        nonlocal sent
+        writer.write(CHUNKED_HEAD + part)
+        rest = part.rpartition(b"\r\n")[2] or b"x-a: b\r\n" * 1000
+        while sent < 100 * MAX_HEAD_BYTES:
+            writer.write(rest)
+            await writer.drain()
+            sent += len(rest)
+
+    async with asyncio.timeout(10), connection_to(respond) as connection:
+        connection.send(GET)
+        events = await read_events(connection)
+
+    assert isinstance(events[0], ResponseHead)
+    assert events[-1].kind is LossKind.MALFORMED
+    assert sent < 100 * MAX_HEAD_BYTES
+
+
+async def test_trailers_and_chunks_of_one_byte_are_read():
+    body = b"1\r\nx\r\n" * 50_000
+
+    async def respond(reader, writer):
+        writer.write(CHUNKED_HEAD + body + b"0\r\nx-a: b\r\n\r\n")
+        await writer.drain()
+
+    async with connection_to(respond) as connection:
+        connection.send(GET)
+        events = await read_events(connection)
+
+    assert events[-1] == ResponseEnd()
+    assert sum(len(e.data) for e in events[1:-1]) == 50_000
+    assert events[0].headers == ((b"transfer-encoding", b"chunked"),)
