Log an item once that has grown too large, though it is read each time

Found by reading the change: an item that was small before is not skipped by later lists, and each of them reported it as new, with a line in the log.

Change: the known large items are a set of their own, apart from those that are skipped. The extended test fails before.

--- a/src/amaranthhollow/decisions/oversized_items.py
+++ b/src/amaranthhollow/decisions/oversized_items.py
@@ -37,16 +37,18 @@
 
     def __init__(self) -> None:
         """Start without known items."""
-        self._check_at_by_key: dict[str, float] = {}
-        self._oversized_keys: list[str] = []
         self._small_keys: list[str] = []
+        # Sorted, as the keys of small items are.
+        self._skipped_keys: list[str] = []
+        self._check_at_by_key: dict[str, float] = {}
+        self._oversized_keys: set[str] = set()
         self._checked_key: str | None = None
 
     def __len__(self) -> int:
         return len(self._oversized_keys)
 
     def begin(self, now: float) -> None:
-        """Begin a list, which reads at most one large item again."""
+        """Begin a list, which reads at most one skipped item again."""
         check_at_by_key = self._check_at_by_key
         due = min(check_at_by_key, key=check_at_by_key.__getitem__, default=None)
         is_due = due is not None and now >= check_at_by_key[due]
@@ -54,13 +56,12 @@
 
     def skip(self, after: str) -> str:
         """Return the key after which the page that would follow ``after`` may begin."""
-        first = bisect_right(self._oversized_keys, after)
         next_small = bisect_right(self._small_keys, after)
         small_key = next(islice(self._small_keys, next_small, None), None)
-        for key in islice(self._oversized_keys, first, None):
-            if small_key is not None and key > small_key:
-                break
-            if key == self._checked_key:
+        first = bisect_right(self._skipped_keys, after)
+        for key in islice(self._skipped_keys, first, None):
+            is_behind_small = small_key is not None and key > small_key
+            if is_behind_small or key == self._checked_key:
                 break
             after = key
         return after
@@ -78,26 +79,27 @@
         An item that was small before is likely to be small again soon, so it is not
         skipped.
         """
-        found = {*small_keys, *oversized_keys}
-        end = None if is_last else max(found, default=after)
-        was_small = set(self._small_keys)
-        known_oversized = set(self._oversized_keys)
-        self._forget_between(after, end)
-        for key in small_keys:
+        end = None if is_last else max((*small_keys, *oversized_keys), default=after)
+        was_small = set(_take_between(self._small_keys, after, end))
+        was_skipped = _take_between(self._skipped_keys, after, end)
+        for key in was_skipped:
+            del self._check_at_by_key[key]
+        replaced = was_small.intersection(oversized_keys)
+        for key in (*small_keys, *replaced):
             insort(self._small_keys, key)
-        for key in oversized_keys:
-            if key in was_small:
-                insort(self._small_keys, key)
-                continue
-            insort(self._oversized_keys, key)
+        for key in set(oversized_keys) - replaced:
+            insort(self._skipped_keys, key)
             self._check_at_by_key[key] = now + CHECK_INTERVAL_SECONDS
-        return frozenset(set(oversized_keys) - known_oversized)
-
-    def _forget_between(self, after: str, end: str | None) -> None:
-        """Forget the items after one key and up to another, or to the end."""
-        for keys in (self._small_keys, self._oversized_keys):
-            first = bisect_right(keys, after)
-            last = len(keys) if end is None else bisect_right(keys, end)
-            for key in keys[first:last]:
-                self._check_at_by_key.pop(key, None)
-            del keys[first:last]
+        known = self._oversized_keys
+        gone = (was_small | set(was_skipped)) - set(oversized_keys)
+        self._oversized_keys = (known - gone).union(oversized_keys)
+        return frozenset(set(oversized_keys) - known)
+
+
+def _take_between(keys: list[str], after: str, end: str | None) -> list[str]:
+    """Remove the sorted keys after one and up to another, or to the end."""
+    first = bisect_right(keys, after)
+    last = len(keys) if end is None else bisect_right(keys, end)
+    taken = keys[first:last]
+    del keys[first:last]
+    return taken
--- a/src/amaranthhollow/serving/endpoint_connection.py
+++ b/src/amaranthhollow/serving/endpoint_connection.py
@@ -146,9 +146,9 @@
                 self._fail("response head exceeds the size limit")
         elif self._awaits_response:
             # The parser buffers trailers, and reports no body meanwhile.
-            self._framing_bytes = (
-                0 if self._has_read_body else (self._framing_bytes + len(data))
-            )
+            self._framing_bytes += len(data)
+            if self._has_read_body:
+                self._framing_bytes = 0
             if self._framing_bytes > MAX_FRAMING_BYTES:
                 self._fail("framing of the response exceeds the size limit")
         if self._queued_bytes > MAX_QUEUED_BYTES:
--- a/tests/decisions/test_oversized_items.py
+++ b/tests/decisions/test_oversized_items.py
@@ -73,7 +73,13 @@
 def test_item_that_was_small_before_is_read_each_time():
     oversized = OversizedItems()
     read_list({"a": False, "b": False}, oversized, 0.0)
-    read_list({"a": True, "b": False}, oversized, 1.0)
+    new = [
+        oversized.record_page("", ["b"], ["a"], is_last=True, now=now)
+        for now in (1.0, 2.0)
+    ]
+    assert new == [{"a"}, set()]
+    assert len(oversized) == 1
+    assert oversized.skip("") == ""
 
     assert read_list({"a": False, "b": False}, oversized, 2.0)[0] == ["a", "b"]
 
@@ -94,3 +100,4 @@
         listed, _ = read_list(present, oversized, now)
 
     assert listed == sorted(key for key, large in present.items() if not large)
+    assert len(oversized) == sum(present.values())
