Relay the end of a response that is complete by its own length

Found by reading the change: a relay that saw the end of file of an endpoint that had not read the whole request reset its peer, also after an early response with a length, such as a refusal. The reset may discard what the peer has not read yet.

Change: only a response that would end with its connection is cut.

--- a/src/amaranthhollow/peers/relay_listener.py
+++ b/src/amaranthhollow/peers/relay_listener.py
@@ -225,11 +225,13 @@
             self._peer.write(encode_frame(data))
 
     def eof_received(self) -> None:
-        """Pass the end on, unless the endpoint has not received the whole request.
+        """Pass the end on, unless it may cut a response that has no end of its own.
 
-        The peer sees how much it has sent to this host alone.
+        That is if the endpoint has not received the whole request, of which the peer
+        sees only how much it has sent to this host.
         """
-        if not self._is_closed and not has_unsent_bytes(self.transport):
+        may_be_cut = not self.exchange.has_response and has_unsent_bytes(self.transport)
+        if not self._is_closed and not may_be_cut:
             self._has_ended = True
             self._peer.write(END_FRAME)
 
--- a/src/amaranthhollow/peers/relayed_exchange.py
+++ b/src/amaranthhollow/peers/relayed_exchange.py
@@ -47,6 +47,11 @@
         self._is_response_expected = False
         self.identifier: bytes | None = None
 
+    @property
+    def has_response(self) -> bool:
+        """Whether the response to the last request is complete by its own framing."""
+        return self._has_response
+
     @property
     def is_between_requests(self) -> bool:
         """Whether the next bytes of the peer begin a request."""
